--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,11 @@
+"""Test profile: the same examples on every run, unless a longer profile is asked for."""
+
+import os
+
+import hypothesis
+
+hypothesis.settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+hypothesis.settings.register_profile(
+    "long", deadline=None, max_examples=2000, stateful_step_count=200, print_blob=True
+)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- /dev/null
+++ b/zinniaspoke/__init__.py
@@ -0,0 +1,1 @@
+"""A layer-4 load balancer whose flows outlive planned changes."""
--- /dev/null
+++ b/zinniaspoke/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the core and the outside."""
--- /dev/null
+++ b/zinniaspoke/caller_path.py
@@ -0,0 +1,463 @@
+"""The way of packets from callers: home, placer, recovery of unknown flows, target."""
+
+from zinniaspoke import (
+    copies,
+    counters,
+    events,
+    flows,
+    geneve,
+    invariants,
+    membership,
+    outbox,
+    packets,
+    placer,
+    rulebook,
+    targets,
+)
+
+HOP_LIMIT = 8
+SILENT_RETRANSMIT_COUNT = 4
+SILENT_S = 3.0
+
+
+class CallerPath:
+    """Steers packets from callers."""
+
+    def __init__(
+        self,
+        *,
+        members: membership.Membership,
+        table: targets.TargetTable,
+        book: rulebook.RuleBook,
+        records: flows.FlowTable,
+        witnesses: flows.WitnessTable,
+        placing: placer.Placer,
+        copying: copies.CopySender,
+        out: outbox.Outbox,
+        checks: invariants.Invariants,
+        counts: counters.Counters,
+    ) -> None:
+        """Connects the path.
+
+        Args:
+            members: The view of the group.
+            table: The targets.
+            book: The rules in force.
+            records: The home's records.
+            witnesses: What was noted in passing.
+            placing: The placer.
+            copying: The sender of copies.
+            out: Where packets go.
+            checks: Promises to check.
+            counts: Counters to raise.
+        """
+        self._members = members
+        self._own_id = members.own.id
+        self._table = table
+        self._book = book
+        self._records = records
+        self._witnesses = witnesses
+        self._placing = placing
+        self._copying = copying
+        self._out = out
+        self._checks = checks
+        self._counts = counts
+        self._progress_s: dict[int, float] = {}
+
+    def from_fabric(self, packet: packets.Packet, now_s: float) -> None:
+        """Steers a packet that the fabric handed to this VM.
+
+        Args:
+            packet: The packet.
+            now_s: Current time.
+        """
+        flow = packet.caller_flow
+        home_id = self._members.home_id(flow)
+        if home_id == self._own_id:
+            self._at_home(packet, flow, now_s)
+            return
+        steering = geneve.Steering(
+            step=geneve.Step.TO_HOME, hop_count=1, rule_number=self._book.number
+        )
+        self._out.to_sibling(home_id, packet.raw, steering)
+
+    def to_home(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        """Steers a packet that a sibling passed to this VM as its home.
+
+        Args:
+            packet: The packet.
+            steering: The sibling's option.
+            now_s: Current time.
+        """
+        flow = packet.caller_flow
+        home_id = self._members.home_id(flow)
+        if home_id in (self._own_id, steering.sender_id) or self._records.get(flow) is not None:
+            self._at_home(packet, flow, now_s)
+            return
+        steering.hop_count += 1
+        if steering.hop_count > HOP_LIMIT:
+            self._counts.drops["hop_limit"] += 1
+            return
+        self._out.to_sibling(home_id, packet.raw, steering)
+
+    def _at_home(self, packet: packets.Packet, flow: bytes, now_s: float) -> None:
+        record = self._records.get(flow)
+        if packet.opens:
+            self._open(packet, flow, record, now_s)
+        elif record is not None:
+            self._serve(packet, record, now_s)
+        elif packet.protocol == packets.UDP:
+            self._open_udp(packet, flow, now_s)
+        else:
+            self._recover(packet, flow, now_s)
+
+    def _open(
+        self, packet: packets.Packet, flow: bytes, record: flows.Flow | None, now_s: float
+    ) -> None:
+        is_fresh = record is not None and record.is_closed
+        if is_fresh:
+            self._records.discard(flow)
+            self._witnesses.discard(flow)
+        elif record is not None:
+            self._serve(packet, record, now_s)
+            return
+        if self._records.is_full:
+            self._refuse_full(packet)
+            return
+        self._to_placer(packet, flow, is_fresh, now_s)
+
+    def _refuse_full(self, packet: packets.Packet) -> None:
+        self._counts.events["refused_table_full"] += 1
+        if packet.protocol == packets.TCP:
+            self._out.to_fabric(packets.build_reset_reply(packet))
+
+    def _open_udp(self, packet: packets.Packet, flow: bytes, now_s: float) -> None:
+        """Recovers a UDP flow if anyone knows it, and lets the placer place it otherwise."""
+        if self._adopt_own(packet, flow, now_s):
+            return
+        if self._placing.get(flow) is None:
+            self._seek(packet, flow, geneve.Steering(step=geneve.Step.SEEK, hop_count=0), now_s)
+            return
+        self._to_placer(packet, flow, False, now_s)
+
+    def _to_placer(self, packet: packets.Packet, flow: bytes, is_fresh: bool, now_s: float) -> None:
+        rule = self._book.find_for_caller(packet)
+        if not rule:
+            self._counts.drops[rule.reason] += 1
+            return
+        placer_id = self._members.placer_id(rule.service.encode())
+        if placer_id == self._own_id:
+            self._placing.open(packet, rule, self._own_id, is_fresh, now_s)
+            return
+        steering = geneve.Steering(
+            step=geneve.Step.PLACE,
+            hop_count=1,
+            is_fresh=is_fresh,
+            rule_number=self._book.number,
+            origin_id=self._own_id,
+        )
+        self._out.to_sibling(placer_id, packet.raw, steering)
+
+    def place(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        """Places an opening that its home passed to this VM as the placer.
+
+        Args:
+            packet: The opening.
+            steering: The home's option.
+            now_s: Current time.
+        """
+        if steering.rule_number > self._book.number:
+            self._counts.drops["rules_behind"] += 1
+            return
+        rule = self._book.find_for_caller(packet)
+        if not rule:
+            self._counts.drops[rule.reason] += 1
+            return
+        self._placing.open(packet, rule, steering.origin_id, steering.is_fresh, now_s)
+
+    def _serve(self, packet: packets.Packet, record: flows.Flow, now_s: float) -> None:
+        """Sends a packet of a known flow to the flow's target."""
+        target = record.target
+        state = self._table.states.get(target.tag)
+        if state is not None and state.is_replaced:
+            self._reset_orphan(packet, record)
+            return
+        was_awaiting = record.awaits_answer
+        record.note_caller_packet(packet, now_s)
+        self._records.settle(record)
+        if was_awaiting and not record.awaits_answer:
+            self._progress_s[target.tag] = now_s
+        if record.retransmit_count >= SILENT_RETRANSMIT_COUNT and self._is_silent(record, now_s):
+            self.reset_both(record, "silent")
+            return
+        if packet.flags & packets.RST:
+            self._show_reset(packet, record, now_s)
+            return
+        self._out.to_target(target, packet.raw)
+
+    def _is_silent(self, record: flows.Flow, now_s: float) -> bool:
+        """Tells one flow's silence from that of its whole target or path."""
+        if now_s - record.stalled_s < SILENT_S:
+            return False
+        return self._progress_s.get(record.target.tag, -1e9) > record.stalled_s
+
+    def _reset_orphan(self, packet: packets.Packet, record: flows.Flow) -> None:
+        """Tells the caller that the flow's process is gone; its outcome is unknown."""
+        self._records.discard(record.key)
+        self._witnesses.discard(record.key)
+        self._counts.events["flows_of_replaced_targets"] += 1
+        if packet.protocol == packets.TCP and not packet.flags & packets.RST:
+            self._out.to_fabric(packets.build_reset_reply(packet))
+
+    def reset_both(self, record: flows.Flow, why: str) -> None:
+        """Resets a flow at both ends; what became of its work is unknown.
+
+        Args:
+            record: The flow.
+            why: The reason, for the log.
+        """
+        self._out.log(events.FLOW_RESET, record.target.name, f"{why}: {record.key.hex()}")
+        self._records.discard(record.key)
+        self._witnesses.discard(record.key)
+        if record.key[0] != packets.TCP:
+            return
+        size = (len(record.key) - 5) // 2
+        caller, caller_port = record.key[1 : 1 + size], record.key[1 + size : 3 + size]
+        service, service_port = record.key[3 + size : 3 + 2 * size], record.key[3 + 2 * size :]
+        to_target = packets.build_tcp(
+            source=caller,
+            source_port=caller_port,
+            destination=service,
+            destination_port=service_port,
+            flags=packets.RST,
+            sequence=record.caller_sequence,
+        )
+        to_caller = packets.build_tcp(
+            source=service,
+            source_port=service_port,
+            destination=caller,
+            destination_port=caller_port,
+            flags=packets.RST,
+            sequence=record.caller_acknowledgment,
+        )
+        self._show(to_target, record)
+        self._out.to_fabric(to_caller)
+
+    def _show_reset(self, packet: packets.Packet, record: flows.Flow, now_s: float) -> None:
+        self._show(packet.raw, record, now_s)
+
+    def _show(self, raw: bytes, record: flows.Flow, now_s: float | None = None) -> None:
+        """Sends a caller's reset to the target by way of the placer, which counts it."""
+        placer_id = self._members.placer_id(record.target.service.encode())
+        if placer_id == self._own_id:
+            time_s = record.seen_s if now_s is None else now_s
+            self._placing.note_end(record.key, record.target, time_s)
+            self._out.to_target(record.target, raw)
+            return
+        steering = geneve.Steering(
+            step=geneve.Step.SHOW_CALLER,
+            hop_count=1,
+            origin_id=self._own_id,
+            target_tag=record.target.tag,
+        )
+        self._out.to_sibling(placer_id, raw, steering)
+
+    def show_caller(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        """Counts a caller's reset as the placer, and sends it on.
+
+        Args:
+            packet: The reset.
+            steering: The home's option.
+            now_s: Current time.
+        """
+        if not steering.target_tag:
+            self._placing.cancel(packet, now_s)
+            return
+        state = self._table.states.get(steering.target_tag)
+        if state is None:
+            self._counts.drops["unknown_target"] += 1
+            return
+        self._placing.note_end(packet.caller_flow, state.target, now_s)
+        if not state.is_replaced:
+            self._out.to_target(state.target, packet.raw)
+
+    def _recover(self, packet: packets.Packet, flow: bytes, now_s: float) -> None:
+        """Finds the target of a flow that this home does not know."""
+        if self._adopt_own(packet, flow, now_s):
+            return
+        if packet.flags & packets.RST and self._cancel_opening(packet, now_s):
+            return
+        self._counts.events["flows_sought"] += 1
+        self._seek(packet, flow, geneve.Steering(step=geneve.Step.SEEK, hop_count=0), now_s)
+
+    def _cancel_opening(self, packet: packets.Packet, now_s: float) -> bool:
+        """Tells the placer that the caller of an unanswered opening went away."""
+        rule = self._book.find_for_caller(packet)
+        if not rule or packet.flags & packets.ACK:
+            return False
+        placer_id = self._members.placer_id(rule.service.encode())
+        if placer_id == self._own_id:
+            self._placing.cancel(packet, now_s)
+            return True
+        steering = geneve.Steering(
+            step=geneve.Step.SHOW_CALLER, hop_count=1, origin_id=self._own_id
+        )
+        self._out.to_sibling(placer_id, packet.raw, steering)
+        return True
+
+    def _known_target(
+        self, packet: packets.Packet, flow: bytes, now_s: float
+    ) -> targets.Target | None:
+        """Looks for the flow's target in all that this VM knows."""
+        record = self._records.get(flow)
+        if record is not None:
+            return None if record.is_closed else record.target
+        placed = self._placing.get(flow)
+        if placed is not None and placed.is_answered:
+            return placed.target
+        witness = self._witnesses.get(flow, now_s)
+        if witness and witness.vouches_for(packet):
+            return witness.target
+        return None
+
+    def _adopt_own(self, packet: packets.Packet, flow: bytes, now_s: float) -> bool:
+        target = self._known_target(packet, flow, now_s)
+        if target is None:
+            return False
+        self._adopt(packet, flow, target, (), now_s)
+        return True
+
+    def _adopt(
+        self,
+        packet: packets.Packet,
+        flow: bytes,
+        target: targets.Target,
+        presences: tuple[int, ...],
+        now_s: float,
+    ) -> None:
+        """Becomes the flow's home with a target that was recovered."""
+        self._counts.events["flows_adopted"] += 1
+        record = flows.Flow(
+            key=flow,
+            target=target,
+            stage=flows.Stage.ESTABLISHED,
+            opened_s=now_s,
+            seen_s=now_s,
+            payload_forwarded=True,
+            is_adopted=True,
+            witness_presences=presences,
+            caller_acknowledgment=packet.acknowledgment,
+        )
+        self._records.add(record)
+        self._serve(packet, record, now_s)
+
+    def _seek(
+        self, packet: packets.Packet, flow: bytes, steering: geneve.Steering, now_s: float
+    ) -> None:
+        """Passes a packet to the next sibling that may know its flow, or back to its home."""
+        origin_id = steering.origin_id or self._own_id
+        visited = (*steering.visited_ids, self._own_id)
+        rule = self._book.find_for_caller(packet)
+        service_key = rule.service.encode() if rule else b""
+        next_id = None
+        if len(visited) < geneve.VISITED_LIMIT:
+            asked = {*visited, origin_id}
+            next_id = self._members.next_to_ask(flow, service_key, asked)
+        step = geneve.Step.SEEK if next_id is not None else geneve.Step.UNKNOWN
+        onward = geneve.Steering(
+            step=step,
+            hop_count=steering.hop_count + 1,
+            origin_id=origin_id,
+            visited_ids=visited,
+        )
+        if next_id is not None:
+            self._out.to_sibling(next_id, packet.raw, onward)
+        elif origin_id == self._own_id:
+            self.unknown(packet, onward, now_s)
+        else:
+            self._out.to_sibling(origin_id, packet.raw, onward)
+
+    def seek(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        """Answers a home that looks for a flow's target.
+
+        Args:
+            packet: The flow's packet.
+            steering: The home's option.
+            now_s: Current time.
+        """
+        flow = packet.caller_flow
+        target = self._known_target(packet, flow, now_s)
+        if target is None:
+            self._seek(packet, flow, steering, now_s)
+            return
+        self._hand_over(packet, flow, target, now_s)
+        if steering.origin_id not in self._members.reachable_ids:
+            self._out.to_target(target, packet.raw)
+            return
+        found = geneve.Steering(
+            step=geneve.Step.FOUND,
+            hop_count=steering.hop_count + 1,
+            origin_id=steering.origin_id,
+            target_tag=target.tag,
+        )
+        self._out.to_sibling(steering.origin_id, packet.raw, found)
+
+    def _hand_over(
+        self, packet: packets.Packet, flow: bytes, target: targets.Target, now_s: float
+    ) -> None:
+        """Keeps a witness in place of the record, since the asker becomes the home."""
+        self._copying.withdraw(flow)
+        if self._records.get(flow) is not None:
+            self._records.discard(flow)
+            self._witnesses.put(flow, target, packet.acknowledgment, now_s)
+
+    def found(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        """Takes a target that a sibling knew.
+
+        Args:
+            packet: The flow's packet.
+            steering: The sibling's option.
+            now_s: Current time.
+        """
+        flow = packet.caller_flow
+        record = self._records.get(flow)
+        if record is not None:
+            self._serve(packet, record, now_s)
+            return
+        state = self._table.states.get(steering.target_tag)
+        if state is None:
+            self._counts.drops["unknown_target"] += 1
+            return
+        presence = self._members.presence_of(steering.sender_id)
+        self._adopt(packet, flow, state.target, (presence,), now_s)
+
+    def unknown(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        """Decides on a packet whose flow no sibling knows.
+
+        Args:
+            packet: The flow's packet.
+            steering: The last sibling's option, with all that were asked.
+            now_s: Current time.
+        """
+        flow = packet.caller_flow
+        record = self._records.get(flow)
+        if record is not None:
+            self._serve(packet, record, now_s)
+            return
+        if packet.protocol == packets.UDP:
+            self._to_placer(packet, flow, False, now_s)
+            return
+        if packet.flags & packets.RST:
+            self._counts.drops["unknown_flow"] += 1
+            return
+        missing = set(self._members.reachable_ids) - set(steering.visited_ids)
+        if missing or self._members.unreachable_ids():
+            self._counts.drops["sibling_silent"] += 1
+            return
+        service = self._book.settled_service(packet)
+        target = service and self._table.base_target(flow, service, now_s)
+        if not target:
+            self._counts.drops[target.reason] += 1
+            return
+        self._counts.events["flows_on_base"] += 1
+        self._adopt(packet, flow, target, (), now_s)
--- /dev/null
+++ b/zinniaspoke/copies.py
@@ -0,0 +1,177 @@
+"""Copies of flows that no live witness knows, paced within the control budget."""
+
+import attrs
+
+from zinniaspoke import counters, flows, hashing, membership, outbox, targets
+from zinniaspoke.proto import peer_pb2
+
+COPY_AGE_S = 1.0
+BUDGET_BYTES_PER_S = 4000.0
+BURST_BYTES = 4000.0
+BATCH_COUNT = 30
+RESEND_S = 1.0
+
+
+@attrs.define(kw_only=True, slots=True)
+class Copy:
+    """A flow to copy.
+
+    Attributes:
+        flow: The flow's key.
+        target: Its target.
+        sequence: Sequence number that the target will use next; 0 for UDP.
+        is_long: Whether its work counts as long.
+    """
+
+    flow: bytes
+    target: targets.Target
+    sequence: int
+    is_long: bool
+
+
+@attrs.define(kw_only=True, slots=True)
+class _Batch:
+    holder_id: int
+    copies: list[Copy]
+    sent_s: float
+
+
+class CopySender:
+    """Sends copies to the VMs that take over next, and repeats them until acknowledged."""
+
+    def __init__(
+        self,
+        *,
+        members: membership.Membership,
+        records: flows.FlowTable,
+        out: outbox.Outbox,
+        counts: counters.Counters,
+        now_s: float,
+    ) -> None:
+        """Connects the sender.
+
+        Args:
+            members: The view of the group.
+            records: The home's records, which note who holds a copy.
+            out: Where datagrams go.
+            counts: Counters to raise.
+            now_s: Current time.
+        """
+        self._members = members
+        self._records = records
+        self._out = out
+        self._counts = counts
+        self._tokens_bytes = BURST_BYTES
+        self._filled_s = now_s
+        self._pending: dict[bytes, Copy] = {}
+        self._batches: dict[int, _Batch] = {}
+        self._sent: set[bytes] = set()
+        self._batch_id = 0
+
+    def __len__(self) -> int:
+        return len(self._pending) + sum(len(b.copies) for b in self._batches.values())
+
+    def offer(self, copy: Copy) -> None:
+        """Queues a copy, unless it is queued or on its way.
+
+        Args:
+            copy: The flow to copy.
+        """
+        if copy.flow not in self._sent:
+            self._pending[copy.flow] = copy
+
+    def withdraw(self, flow: bytes) -> None:
+        """Drops a queued copy because another VM has adopted the flow.
+
+        Args:
+            flow: The flow's key.
+        """
+        self._pending.pop(flow, None)
+
+    def tick(self, now_s: float) -> None:
+        """Sends what the budget allows.
+
+        Args:
+            now_s: Current time.
+        """
+        self._refill(now_s)
+        self._resend(now_s)
+        while self._pending and self._tokens_bytes > 0:
+            if not self._send_batch(now_s):
+                return
+
+    def _refill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._filled_s)
+        self._filled_s = now_s
+        refill_bytes = elapsed_s * BUDGET_BYTES_PER_S
+        self._tokens_bytes = min(BURST_BYTES, self._tokens_bytes + refill_bytes)
+
+    def _resend(self, now_s: float) -> None:
+        late = [i for i, b in self._batches.items() if now_s - b.sent_s >= RESEND_S]
+        for batch_id in late:
+            batch = self._batches.pop(batch_id)
+            for copy in batch.copies:
+                self._sent.discard(copy.flow)
+                self._pending[copy.flow] = copy
+
+    def _send_batch(self, now_s: float) -> bool:
+        by_holder: dict[int, list[Copy]] = {}
+        for copy in list(self._pending.values())[: 4 * BATCH_COUNT]:
+            holder_id = self._holder_id(copy.flow)
+            if holder_id is not None:
+                by_holder.setdefault(holder_id, []).append(copy)
+        if not by_holder:
+            return False
+        holder_id, copies = max(by_holder.items(), key=lambda item: len(item[1]))
+        self._transmit(holder_id, copies[:BATCH_COUNT], now_s)
+        return True
+
+    def _holder_id(self, flow: bytes) -> int | None:
+        """Returns the member that becomes home if this VM goes."""
+        own_id = self._members.own.id
+        order = [i for i in self._members.serving_ids if i != own_id]
+        if not order:
+            return None
+        home_id = self._members.home_id(flow)
+        if home_id != own_id:
+            return home_id
+        return hashing.SlotTable.order(flow, order)[0]
+
+    def _transmit(self, holder_id: int, copies: list[Copy], now_s: float) -> None:
+        self._batch_id = (self._batch_id + 1) & 0xFFFFFFFF
+        body = peer_pb2.CopyBatch(
+            batch_id=self._batch_id,
+            copies=[
+                peer_pb2.FlowCopy(
+                    flow=copy.flow,
+                    target_tag=copy.target.tag,
+                    sequence=copy.sequence,
+                    is_long=copy.is_long,
+                )
+                for copy in copies
+            ],
+        )
+        self._tokens_bytes -= self._out.control(holder_id, peer_pb2.Datagram(copy_batch=body))
+        self._batches[self._batch_id] = _Batch(holder_id=holder_id, copies=copies, sent_s=now_s)
+        self._counts.events["copies_sent"] += len(copies)
+        for copy in copies:
+            self._pending.pop(copy.flow, None)
+            self._sent.add(copy.flow)
+
+    def acknowledge(self, sender_id: int, batch_id: int) -> None:
+        """Notes that a batch is held.
+
+        Args:
+            sender_id: Who holds it.
+            batch_id: Which batch.
+        """
+        batch = self._batches.get(batch_id)
+        if batch is None or batch.holder_id != sender_id:
+            return
+        del self._batches[batch_id]
+        for copy in batch.copies:
+            self._sent.discard(copy.flow)
+            record = self._records.get(copy.flow)
+            if record is not None:
+                presence = self._members.presence_of(sender_id)
+                record.witness_presences = (*record.witness_presences[-3:], presence)
--- /dev/null
+++ b/zinniaspoke/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin daemons: settings, adapters, core, loop."""
--- /dev/null
+++ b/zinniaspoke/entry.py
@@ -0,0 +1,485 @@
+"""The entry VM's core: takes datagrams, announcements and time, returns actions."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from zinniaspoke import (
+    actions,
+    caller_path,
+    copies,
+    counters,
+    datagrams,
+    errors,
+    events,
+    flows,
+    geneve,
+    gossip,
+    invariants,
+    membership,
+    outbox,
+    packets,
+    placement,
+    placer,
+    return_path,
+    rulebook,
+    targets,
+)
+from zinniaspoke.proto import peer_pb2
+
+SWEEP_SLICE_COUNT = 500
+LEAVE_QUIET_S = 1.0
+LEAVE_LIMIT_S = 30.0
+
+_STEPS: dict[geneve.Step, Callable] = {}
+
+
+def _on(step: geneve.Step) -> Callable:
+    """Registers the handler of one steering step."""
+
+    def register(method: Callable) -> Callable:
+        _STEPS[step] = method
+        return method
+
+    return register
+
+
+@attrs.frozen(kw_only=True)
+class Config:
+    """What an entry VM's core is told at its start.
+
+    Attributes:
+        own: This VM as a member.
+        seeds: Control endpoints of entry VMs to join.
+        fabric: Where packets for callers go.
+        fabric_hosts: Outer sources from which callers' packets come.
+        keys: Secrets for datagrams, the signing one first.
+        flow_limit: Most records held.
+        witness_limit: Most witnesses held.
+        policy: Name of the placement policy.
+        is_strict: Whether a broken promise raises.
+    """
+
+    own: membership.Member
+    seeds: tuple[tuple[str, int], ...]
+    fabric: tuple[str, int]
+    fabric_hosts: frozenset[str]
+    keys: tuple[bytes, ...]
+    flow_limit: int = 300_000
+    witness_limit: int = 300_000
+    policy: str = placement.DEFAULT_POLICY
+    is_strict: bool = False
+
+
+class Entry:
+    """The decisions of one entry VM, without sockets or clocks."""
+
+    def __init__(self, *, config: Config, rng: random.Random, now_s: float) -> None:
+        """Composes the core.
+
+        Args:
+            config: Identity, limits and secrets.
+            rng: Seeded random source.
+            now_s: Current time.
+        """
+        self.config = config
+        self.counts = counters.Counters()
+        self.members = membership.Membership(own=config.own, now_s=now_s)
+        self.table = targets.TargetTable()
+        self.book = rulebook.RuleBook()
+        self.records = flows.FlowTable(limit=config.flow_limit)
+        self.witnesses = flows.WitnessTable(limit=config.witness_limit)
+        self._sealer = datagrams.Sealer(
+            sender_id=config.own.id, incarnation=config.own.incarnation, keys=config.keys
+        )
+        self.out = outbox.Outbox(
+            members=self.members, sealer=self._sealer, fabric=config.fabric, counts=self.counts
+        )
+        checks = invariants.Invariants(out=self.out, is_strict=config.is_strict)
+        self.placing = placer.Placer(
+            table=self.table,
+            policy=placement.create(config.policy, rng),
+            out=self.out,
+            checks=checks,
+            counts=self.counts,
+            rng=rng,
+            now_s=now_s,
+        )
+        self.copying = copies.CopySender(
+            members=self.members,
+            records=self.records,
+            out=self.out,
+            counts=self.counts,
+            now_s=now_s,
+        )
+        self.gossip = gossip.Gossip(
+            members=self.members,
+            table=self.table,
+            book=self.book,
+            table_of_flows=self.records,
+            placing=self.placing,
+            out=self.out,
+            counts=self.counts,
+            seeds=config.seeds,
+            rng=rng,
+        )
+        self.caller_path = caller_path.CallerPath(
+            members=self.members,
+            table=self.table,
+            book=self.book,
+            records=self.records,
+            witnesses=self.witnesses,
+            placing=self.placing,
+            copying=self.copying,
+            out=self.out,
+            checks=checks,
+            counts=self.counts,
+        )
+        self.return_path = return_path.ReturnPath(
+            members=self.members,
+            table=self.table,
+            book=self.book,
+            records=self.records,
+            witnesses=self.witnesses,
+            placing=self.placing,
+            out=self.out,
+            checks=checks,
+            counts=self.counts,
+        )
+        self._sweeper = _Sweeper(core=self)
+        self._placed_services: frozenset[str] = frozenset()
+        self._seen_version = -1
+        self._seen_reachable: frozenset[int] = frozenset()
+        self._leave_started_s: float | None = None
+        self._packet_s = now_s
+
+    def handle_packet(self, data: bytes, source_host: str, now_s: float) -> list[actions.Action]:
+        """Steers a datagram from the packet socket.
+
+        Args:
+            data: The Geneve datagram.
+            source_host: Its outer source address.
+            now_s: Current time.
+
+        Returns:
+            What to do.
+        """
+        try:
+            frame = geneve.decapsulate(data, self._sealer.keys)
+            packet = packets.decode(frame.inner)
+        except errors.PacketError as error:
+            self.counts.drops[error.reason] += 1
+            return self.out.take()
+        if frame.steering is not None:
+            _STEPS[frame.steering.step](self, packet, frame.steering, now_s)
+        elif source_host in self.config.fabric_hosts:
+            self._packet_s = now_s
+            self.caller_path.from_fabric(packet, now_s)
+        else:
+            self._packet_s = now_s
+            self.return_path.from_target(packet, source_host, now_s)
+        return self.out.take()
+
+    @_on(geneve.Step.TO_HOME)
+    def _to_home(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.caller_path.to_home(packet, steering, now_s)
+
+    @_on(geneve.Step.PLACE)
+    def _place(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.caller_path.place(packet, steering, now_s)
+
+    @_on(geneve.Step.SHOW_CALLER)
+    def _show_caller(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.caller_path.show_caller(packet, steering, now_s)
+
+    @_on(geneve.Step.SEEK)
+    def _seek(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.caller_path.seek(packet, steering, now_s)
+
+    @_on(geneve.Step.FOUND)
+    def _found(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.caller_path.found(packet, steering, now_s)
+
+    @_on(geneve.Step.UNKNOWN)
+    def _unknown(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.caller_path.unknown(packet, steering, now_s)
+
+    @_on(geneve.Step.RETURN)
+    def _return(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.return_path.at_home(packet, steering, now_s)
+
+    @_on(geneve.Step.SHOW_RETURN)
+    def _show_return(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.return_path.at_placer(packet, steering, now_s)
+
+    @_on(geneve.Step.REJECTED)
+    def _rejected(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
+        self.return_path.rejected(packet, steering, now_s)
+
+    def handle_control(self, data: bytes, peer: str, now_s: float) -> list[actions.Action]:
+        """Takes a datagram from the control socket.
+
+        Args:
+            data: The sealed datagram.
+            peer: Where it came from, for the log.
+            now_s: Current time.
+
+        Returns:
+            What to do.
+        """
+        try:
+            datagram = self._sealer.open(data, peer)
+        except errors.DatagramError as error:
+            self.counts.drops[error.reason] += 1
+            if error.reason not in ("own_datagram", "replay"):
+                self.out.log(events.DATAGRAM_REFUSED, peer, error.reason)
+            return self.out.take()
+        if not self.gossip.handle(datagram, now_s):
+            self._handle_transfer(datagram, now_s)
+        self._follow_view(now_s)
+        return self.out.take()
+
+    def _handle_transfer(self, datagram: peer_pb2.Datagram, now_s: float) -> None:
+        field = datagram.WhichOneof("body")
+        if field == "copy_batch":
+            self._take_copies(datagram.sender_id, datagram.copy_batch, now_s)
+        elif field == "copy_ack":
+            self.copying.acknowledge(datagram.sender_id, datagram.copy_ack.batch_id)
+        elif field == "placer_counts":
+            self._take_counts(datagram.placer_counts)
+
+    def _take_copies(self, sender_id: int, batch: peer_pb2.CopyBatch, now_s: float) -> None:
+        for copy in batch.copies:
+            state = self.table.states.get(copy.target_tag)
+            if state is None:
+                self.counts.drops["copy_of_unknown_target"] += 1
+                return
+            self.witnesses.put(copy.flow, state.target, copy.sequence, now_s)
+        ack = peer_pb2.CopyAck(batch_id=batch.batch_id)
+        self.out.control(sender_id, peer_pb2.Datagram(copy_ack=ack))
+
+    def _take_counts(self, body: peer_pb2.PlacerCounts) -> None:
+        for handed in body.loads:
+            state = self.table.states.get(handed.target_tag)
+            if state is None:
+                continue
+            load = self.placing.load_of(state.target)
+            load.short_count = max(load.short_count, handed.short_count)
+            load.long_count = max(load.long_count, handed.long_count)
+
+    def announce(self, state: targets.TargetState, now_s: float) -> list[actions.Action]:
+        """Takes a target's announcement.
+
+        Args:
+            state: The announced state.
+            now_s: Current time.
+
+        Returns:
+            What to do.
+        """
+        self.gossip.announce(state, now_s)
+        return self.out.take()
+
+    def install_rules(self, number: int, content: bytes) -> list[actions.Action]:
+        """Puts a committed rule file in force.
+
+        Args:
+            number: The file's number.
+            content: The file's bytes.
+
+        Returns:
+            What to do.
+        """
+        try:
+            is_newer = self.book.install(number, content)
+        except errors.RuleError as error:
+            self.out.log(events.RULES_REFUSED, f"rule file {number}", error.reason)
+            return self.out.take()
+        if is_newer:
+            rule_count = len(self.book.current.rules)
+            self.out.log(events.RULES_IN_FORCE, f"rule file {number}", f"{rule_count} rules")
+        return self.out.take()
+
+    def tick(self, now_s: float) -> list[actions.Action]:
+        """Does what is due; called every few hundredths of a second.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            What to do.
+        """
+        self.members.tick(now_s)
+        self._follow_view(now_s)
+        self.gossip.tick(now_s)
+        live_ids = frozenset((*self.members.reachable_ids, self.members.own.id))
+        self.placing.tick(now_s, live_ids)
+        self._sweeper.tick(now_s)
+        self.copying.tick(now_s)
+        self.witnesses.expire(now_s, SWEEP_SLICE_COUNT)
+        for target in self.table.forget_expired(now_s):
+            self.placing.forget_target(target)
+            self.out.log(events.TARGET_FORGOTTEN, target.name, "lease lapsed long ago")
+        return self.out.take()
+
+    def _follow_view(self, now_s: float) -> None:
+        """Reacts to a change of membership: log it, take over or hand over placing."""
+        if self.members.version == self._seen_version:
+            return
+        self._seen_version = self.members.version
+        self._log_view()
+        own_id = self.members.own.id
+        services = self.book.current.services()
+        placed = frozenset(s for s in services if self.members.placer_id(s.encode()) == own_id)
+        live_ids = frozenset((*self.members.reachable_ids, own_id))
+        self.placing.take_over(placed - self._placed_services, live_ids)
+        for service in self._placed_services - placed:
+            self._hand_counts(service)
+        self._placed_services = placed
+
+    def _log_view(self) -> None:
+        reachable = frozenset(self.members.reachable_ids)
+        for member_id in reachable - self._seen_reachable:
+            self.out.log(events.MEMBER_REACHED, self.members.members[member_id].name, "")
+        for member_id in self._seen_reachable - reachable:
+            member = self.members.members.get(member_id)
+            self.out.log(events.MEMBER_LOST, member.name if member else str(member_id), "")
+        self._seen_reachable = reachable
+
+    def _hand_counts(self, service: str) -> None:
+        """Passes a service's counts on to its new placer."""
+        loads = [
+            peer_pb2.Load(target_tag=tag, short_count=load.short_count, long_count=load.long_count)
+            for tag, load in self.placing.loads.items()
+            if load.target.service == service
+        ]
+        body = peer_pb2.PlacerCounts(service=service, loads=loads)
+        placer_id = self.members.placer_id(service.encode())
+        self.out.control(placer_id, peer_pb2.Datagram(placer_counts=body))
+
+    def begin_leave(self, now_s: float) -> list[actions.Action]:
+        """Starts a planned leave.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            What to do.
+        """
+        if self._leave_started_s is None:
+            self._leave_started_s = now_s
+            self.members.own.state = membership.MemberState.LEAVING
+            self.members.tick(now_s)
+            self.out.log(events.LEAVE_STARTED, self.members.own.name, "")
+            self._sweeper.restart()
+        return self.tick(now_s)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned leave has started."""
+        return self._leave_started_s is not None
+
+    def may_stop(self, now_s: float) -> bool:
+        """Tells whether a planned leave is complete.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            True once the others have seen the leave, every flow that needs a copy has one, no
+            opening waits here, and the fabric has sent nothing for a while; or the limit passed.
+        """
+        if self._leave_started_s is None:
+            return False
+        if now_s - self._leave_started_s > LEAVE_LIMIT_S:
+            return True
+        others = [self.members.members[i] for i in self.members.reachable_ids]
+        seen = all(member.acknowledges_leave for member in others)
+        copied = self._sweeper.is_complete and len(self.copying) == 0
+        is_quiet = now_s - self._packet_s > LEAVE_QUIET_S
+        return seen and copied and is_quiet and self.placing.waiting_count == 0
+
+
+class _Sweeper:
+    """Goes through the records in slices: expiry, classes, copies."""
+
+    def __init__(self, *, core: Entry) -> None:
+        self._core = core
+        self._keys: list[bytes] = []
+        self._rounds = 0
+        self._idle: dict[int, flows.TargetCount] = {}
+
+    def restart(self) -> None:
+        """Starts a new round over all records."""
+        self._keys = []
+        self._rounds = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a whole round was made since the restart."""
+        return self._rounds >= 2
+
+    def tick(self, now_s: float) -> None:
+        """Looks at the next slice.
+
+        Args:
+            now_s: Current time.
+        """
+        if not self._keys:
+            self._core.gossip.note_idle(self._idle)
+            self._idle = {}
+            self._keys = self._core.records.keys()
+            self._keys.reverse()
+            self._rounds += 1
+        for key in self._keys[-SWEEP_SLICE_COUNT:]:
+            record = self._core.records.get(key)
+            if record is not None:
+                self._look_at(record, now_s)
+        del self._keys[-SWEEP_SLICE_COUNT:]
+
+    def _look_at(self, record: flows.Flow, now_s: float) -> None:
+        core = self._core
+        silent_s = now_s - record.seen_s
+        if record.is_closed:
+            if silent_s > flows.CLOSED_LINGER_S:
+                core.records.discard(record.key)
+            return
+        if silent_s > self._idle_limit_s(record):
+            core.caller_path.reset_both(record, "idle")
+            return
+        if not record.is_long and now_s - record.opened_s > placer.LONG_AFTER_S:
+            core.records.reclassify(record)
+        if not record.is_running(now_s):
+            self._count_idle(record)
+        if self._needs_copy(record, now_s):
+            core.copying.offer(
+                copies.Copy(
+                    flow=record.key,
+                    target=record.target,
+                    sequence=record.caller_acknowledgment,
+                    is_long=record.is_long,
+                )
+            )
+
+    def _idle_limit_s(self, record: flows.Flow) -> float:
+        size = (len(record.key) - 5) // 2
+        address, port = record.key[3 + size : 3 + 2 * size], record.key[3 + 2 * size :]
+        rule = self._core.book.find(record.key[0], address, port)
+        return rule.idle_s if rule else 900.0
+
+    def _count_idle(self, record: flows.Flow) -> None:
+        count = self._idle.setdefault(record.target.tag, flows.TargetCount())
+        if record.is_long:
+            count.long_count += 1
+        else:
+            count.short_count += 1
+
+    def _needs_copy(self, record: flows.Flow, now_s: float) -> bool:
+        core = self._core
+        if core.members.remembers_any(record.witness_presences):
+            return False
+        if now_s - record.opened_s < copies.COPY_AGE_S and not core.is_leaving:
+            return False
+        base = core.table.base_target(record.key, record.target.service, now_s)
+        return not base or base.tag != record.target.tag
--- /dev/null
+++ b/zinniaspoke/events.py
@@ -0,0 +1,53 @@
+"""The catalogue of numbered log events."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """One kind of log event.
+
+    Attributes:
+        number: Its number, never used again for another kind.
+        name: Its short name.
+        meaning: What an operator reads from it.
+    """
+
+    number: int
+    name: str
+    meaning: str
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def _define(number: int, name: str, meaning: str) -> Event:
+    event = Event(number=number, name=name, meaning=meaning)
+    CATALOGUE[number] = event
+    return event
+
+
+MEMBER_LEARNT = _define(101, "member_learnt", "An entry VM or a new incarnation of it was learnt.")
+MEMBER_LOST = _define(102, "member_lost", "An entry VM is no longer heard, or does not hear us.")
+MEMBER_REACHED = _define(103, "member_reached", "An entry VM is heard and hears us.")
+LEAVE_STARTED = _define(104, "leave_started", "A planned leave of this entry VM started.")
+LEAVE_FINISHED = _define(105, "leave_finished", "The others have acknowledged; this VM may stop.")
+TARGET_ANNOUNCED = _define(201, "target_announced", "A target, or a new incarnation, is known.")
+TARGET_CHANGED = _define(202, "target_changed", "A target drains or became ready.")
+TARGET_FORGOTTEN = _define(203, "target_forgotten", "A target's lease lapsed long ago.")
+TARGET_EJECTED = _define(204, "target_ejected", "A target gets no new work for a while.")
+ANNOUNCEMENT_REFUSED = _define(205, "announcement_refused", "An announcement was not taken.")
+RULES_IN_FORCE = _define(301, "rules_in_force", "A rule file is in force on this VM.")
+RULES_REFUSED = _define(302, "rules_refused", "A rule file that arrived was not taken.")
+RULES_UNREACHABLE = _define(303, "rules_unreachable", "No control replica answered a poll.")
+DATAGRAM_REFUSED = _define(401, "datagram_refused", "A control datagram was dropped.")
+FLOW_RESET = _define(402, "flow_reset", "A flow was reset at both ends; its outcome is unknown.")
+FLOW_REFUSED = _define(403, "flow_refused", "An opening was refused; nothing of it was run.")
+INVARIANT_BROKEN = _define(901, "invariant_broken", "A promise of the program did not hold.")
+REPLICA_ROLE = _define(501, "replica_role", "A control replica became leader or follower.")
+REPLICA_RECOVERED = _define(502, "replica_recovered", "A control replica read back its state.")
+RULE_FILE_ACCEPTED = _define(503, "rule_file_accepted", "A rule file was accepted.")
+RULE_FILE_REJECTED = _define(504, "rule_file_rejected", "A submitted rule file was not accepted.")
+PROCESS_STARTED = _define(1, "process_started", "A process opened its sockets.")
+PROCESS_STOPPED = _define(2, "process_stopped", "A process closed its sockets.")
+PROCESS_FAILED = _define(3, "process_failed", "A process could not go on.")
--- /dev/null
+++ b/zinniaspoke/geneve.py
@@ -0,0 +1,197 @@
+"""Geneve encapsulation (RFC 8926) with the option that steers packets between entry VMs."""
+
+import enum
+import hashlib
+import struct
+
+import attrs
+
+from zinniaspoke import errors
+
+PORT = 6081
+OPTION_CLASS = 0xFFF1
+OPTION_TYPE = 0x01
+VISITED_LIMIT = 16
+
+_HEADER = struct.Struct("!BBHI")
+_OPTION = struct.Struct("!HBB")
+_STEER = struct.Struct("!BBBBIIII")
+_ETHERTYPE_IPV4 = 0x0800
+_ETHERTYPE_IPV6 = 0x86DD
+_TAG_BYTES = 8
+_ADDRESS_BYTES = 16
+_HEADERS = {
+    4: _HEADER.pack(0, 0, _ETHERTYPE_IPV4, 0),
+    6: _HEADER.pack(0, 0, _ETHERTYPE_IPV6, 0),
+}
+
+
+class Step(enum.IntEnum):
+    """What the receiving entry VM is asked to do with a packet."""
+
+    TO_HOME = 1
+    PLACE = 2
+    RETURN = 3
+    SHOW_RETURN = 4
+    SHOW_CALLER = 5
+    SEEK = 6
+    FOUND = 7
+    UNKNOWN = 8
+    REJECTED = 9
+
+
+@attrs.define(kw_only=True, slots=True)
+class Steering:
+    """The option that an entry VM adds to a packet for a sibling.
+
+    Attributes:
+        step: What the receiver is asked to do.
+        hop_count: How many entry VMs have passed the packet on.
+        is_fresh: Whether the opening starts a new flow on a used 5-tuple.
+        rule_number: Highest rule number that any VM on the way had in force.
+        sender_id: The sibling that sent it.
+        origin_id: The VM that started this exchange, usually the flow's home.
+        target_tag: The flow's target, 0 for none.
+        address: Outer source of a return packet, packed; empty for none.
+        visited_ids: Siblings that a SEEK has passed.
+    """
+
+    step: Step
+    hop_count: int
+    is_fresh: bool = False
+    rule_number: int = 0
+    sender_id: int = 0
+    origin_id: int = 0
+    target_tag: int = 0
+    address: bytes = b""
+    visited_ids: tuple[int, ...] = ()
+
+
+@attrs.define(kw_only=True, slots=True)
+class Frame:
+    """A decapsulated packet.
+
+    Attributes:
+        inner: The IP packet.
+        steering: The option, or None where a fabric or target sent the packet.
+    """
+
+    inner: bytes
+    steering: Steering | None
+
+
+def _error(reason: str) -> errors.PacketError:
+    return errors.PacketError(step="decode geneve", peer="network", reason=reason)
+
+
+def encapsulate(inner: bytes) -> bytes:
+    """Wraps an IP packet without options.
+
+    Args:
+        inner: The IP packet, not empty.
+
+    Returns:
+        The UDP payload.
+    """
+    return _HEADERS[inner[0] >> 4] + inner
+
+
+def _tag(key: bytes, option: bytes, inner: bytes) -> bytes:
+    return hashlib.blake2b(option + inner, digest_size=_TAG_BYTES, key=key).digest()
+
+
+def encapsulate_steered(inner: bytes, steering: Steering, key: bytes) -> bytes:
+    """Wraps an IP packet for a sibling.
+
+    Args:
+        inner: The IP packet.
+        steering: What the sibling is asked to do.
+        key: Secret shared by the entry VMs, up to 64 bytes.
+
+    Returns:
+        The UDP payload, whose option carries a keyed hash over option and packet.
+    """
+    visited = steering.visited_ids[:VISITED_LIMIT]
+    body = _STEER.pack(
+        steering.step,
+        steering.hop_count,
+        steering.is_fresh | (len(steering.address) << 1),
+        len(visited),
+        steering.rule_number,
+        steering.sender_id,
+        steering.origin_id,
+        steering.target_tag,
+    )
+    body += steering.address.ljust(_ADDRESS_BYTES, b"\0") if steering.address else b""
+    body += struct.pack(f"!{len(visited)}I", *visited)
+    length = (len(body) + _TAG_BYTES) // 4
+    option = _OPTION.pack(OPTION_CLASS, OPTION_TYPE, length) + body
+    ethertype = _ETHERTYPE_IPV4 if inner[0] >> 4 == 4 else _ETHERTYPE_IPV6
+    header = _HEADER.pack((len(option) + _TAG_BYTES) // 4, 0, ethertype, 0)
+    return header + option + _tag(key, option, inner) + inner
+
+
+def decapsulate(data: bytes, keys: tuple[bytes, ...]) -> Frame:
+    """Unwraps a UDP payload.
+
+    Args:
+        data: The UDP payload.
+        keys: Secrets that are valid now, the current one first.
+
+    Returns:
+        The packet and its steering option, if it has one.
+
+    Raises:
+        errors.PacketError: The header is not one that is handled, or the keyed hash is wrong.
+    """
+    if len(data) < _HEADER.size:
+        raise _error("truncated")
+    first, control, ethertype, _ = _HEADER.unpack_from(data)
+    if first >> 6 or control & 0x80 or ethertype not in (_ETHERTYPE_IPV4, _ETHERTYPE_IPV6):
+        raise _error("malformed")
+    end = _HEADER.size + (first & 0x3F) * 4
+    if end > len(data):
+        raise _error("truncated")
+    steering = None
+    offset = _HEADER.size
+    while offset < end:
+        if offset + _OPTION.size > end:
+            raise _error("malformed")
+        option_class, option_type, length = _OPTION.unpack_from(data, offset)
+        size_bytes = _OPTION.size + (length & 0x1F) * 4
+        if offset + size_bytes > end:
+            raise _error("malformed")
+        if (option_class, option_type) == (OPTION_CLASS, OPTION_TYPE):
+            steering = _decode_steering(data[offset : offset + size_bytes], data[end:], keys)
+        elif option_type & 0x80:
+            raise _error("critical_option")
+        offset += size_bytes
+    return Frame(inner=data[end:], steering=steering)
+
+
+def _decode_steering(option: bytes, inner: bytes, keys: tuple[bytes, ...]) -> Steering:
+    signed, tag = option[:-_TAG_BYTES], option[-_TAG_BYTES:]
+    if len(signed) < _OPTION.size + _STEER.size:
+        raise _error("malformed")
+    if not any(_tag(key, signed, inner) == tag for key in keys):
+        raise _error("signature")
+    step, hops, bits, visited_count, number, sender, origin, target = _STEER.unpack_from(
+        signed, _OPTION.size
+    )
+    offset = _OPTION.size + _STEER.size
+    address_bytes = bits >> 1
+    address = signed[offset : offset + address_bytes]
+    offset += _ADDRESS_BYTES if address_bytes else 0
+    if len(signed) != offset + visited_count * 4 or step not in Step._value2member_map_:
+        raise _error("malformed")
+    return Steering(
+        step=Step(step),
+        hop_count=hops,
+        is_fresh=bool(bits & 1),
+        rule_number=number,
+        sender_id=sender,
+        origin_id=origin,
+        target_tag=target,
+        address=address,
+        visited_ids=struct.unpack_from(f"!{visited_count}I", signed, offset),
+    )
--- /dev/null
+++ b/zinniaspoke/gossip.py
@@ -0,0 +1,391 @@
+"""Heartbeats between entry VMs, and the spread of members, targets, leases and loads."""
+
+import random
+from collections.abc import Callable, Iterable
+
+from zinniaspoke import (
+    counters,
+    events,
+    flows,
+    loads,
+    membership,
+    outbox,
+    placer,
+    rulebook,
+    targets,
+)
+from zinniaspoke.proto import peer_pb2
+
+LOAD_REPORT_S = 0.5
+LEASE_SHARE_S = 1.0
+TABLE_CHUNK = 10
+REQUEST_PAUSE_S = 0.2
+
+_HANDLERS: dict[str, Callable] = {}
+
+
+def _handles(field: str) -> Callable:
+    """Registers the handler of one kind of datagram body."""
+
+    def register(method: Callable) -> Callable:
+        _HANDLERS[field] = method
+        return method
+
+    return register
+
+
+class Gossip:
+    """Keeps members, targets, leases, loads and rule numbers alike across the group."""
+
+    def __init__(
+        self,
+        *,
+        members: membership.Membership,
+        table: targets.TargetTable,
+        book: rulebook.RuleBook,
+        table_of_flows: flows.FlowTable,
+        placing: placer.Placer,
+        out: outbox.Outbox,
+        counts: counters.Counters,
+        seeds: tuple[tuple[str, int], ...],
+        rng: random.Random,
+    ) -> None:
+        """Connects the gossip.
+
+        Args:
+            members: The view of the group.
+            table: The targets.
+            book: The rules in force.
+            table_of_flows: The home's records, for load reports.
+            placing: The placer, which takes load reports.
+            out: Where datagrams go.
+            counts: Counters to raise.
+            seeds: Control endpoints of entry VMs to join.
+            rng: Seeded random source.
+        """
+        self._members = members
+        self._table = table
+        self._book = book
+        self._flows = table_of_flows
+        self._placing = placing
+        self._out = out
+        self._counts = counts
+        self._seeds = seeds
+        self._rng = rng
+        self._renewed: dict[int, float] = {}
+        self._heartbeat_s = -1e9
+        self._load_s = -1e9
+        self._asked_s: dict[int, float] = {}
+        self._sequence = 0
+        self._idle: dict[int, flows.TargetCount] = {}
+
+    def announce(self, state: targets.TargetState, now_s: float) -> None:
+        """Takes a target's own announcement and spreads what it changes.
+
+        Args:
+            state: The announced state; its version is the announcement's sequence.
+            now_s: Current time.
+        """
+        known = self._table.states.get(state.target.tag)
+        if known is not None and known.is_draining == state.is_draining:
+            state.version = known.version
+        self._renewed[state.target.tag] = now_s
+        if self._merge(state, now_s):
+            self._spread([self._table.states[state.target.tag]], now_s)
+
+    def _merge(self, state: targets.TargetState, now_s: float) -> bool:
+        is_new = state.target.tag not in self._table.states
+        if not self._table.merge(state, now_s):
+            return False
+        event = events.TARGET_ANNOUNCED if is_new else events.TARGET_CHANGED
+        detail = "draining" if state.is_draining else "ready"
+        self._out.log(event, state.target.name, detail)
+        return True
+
+    def _spread(self, states: Iterable[targets.TargetState], now_s: float) -> None:
+        body = _target_table(states, now_s)
+        for member_id in self._other_ids():
+            self._out.control(member_id, peer_pb2.Datagram(target_table=body))
+
+    def _other_ids(self) -> list[int]:
+        return [i for i in self._members.members if i != self._members.own.id]
+
+    def tick(self, now_s: float) -> None:
+        """Sends heartbeats when they are due.
+
+        Args:
+            now_s: Current time.
+        """
+        if now_s - self._heartbeat_s < membership.HEARTBEAT_S:
+            return
+        self._heartbeat_s = now_s
+        self._greet_seeds()
+        has_loads = now_s - self._load_s >= LOAD_REPORT_S
+        if has_loads:
+            self._load_s = now_s
+        self._sequence += 1
+        heartbeat = self._heartbeat(now_s)
+        for member_id in self._other_ids():
+            body = peer_pb2.Datagram(heartbeat=heartbeat)
+            if has_loads:
+                body.heartbeat.loads.extend(self._loads_for(member_id))
+            self._out.control(member_id, body)
+        if has_loads:
+            self._report_to_self(now_s)
+
+    def _greet_seeds(self) -> None:
+        known = {m.control_endpoint for m in self._members.members.values()}
+        body = peer_pb2.MemberTable(members=[_member_record(self._members.own)])
+        for seed in self._seeds:
+            if seed not in known:
+                self._out.control_to(seed, peer_pb2.Datagram(member_table=body))
+
+    def _heartbeat(self, now_s: float) -> peer_pb2.Heartbeat:
+        own = self._members.own
+        self._renewed = {t: s for t, s in self._renewed.items() if now_s - s < LEASE_SHARE_S}
+        leaving = membership.MemberState.LEAVING
+        acks = [m.id for m in self._members.members.values() if m.state is leaving]
+        return peer_pb2.Heartbeat(
+            member_id=own.id,
+            state=int(own.state),
+            rule_number=self._book.number,
+            heard_ids=self._members.heard_ids(now_s),
+            leases=[self._lease(tag, now_s) for tag in self._renewed if tag in self._table.states],
+            leave_ack_ids=acks,
+            sequence=self._sequence,
+        )
+
+    def _lease(self, tag: int, now_s: float) -> peer_pb2.Lease:
+        state = self._table.states[tag]
+        age_ms = int(max(0.0, now_s - state.renewed_s) * 1000)
+        return peer_pb2.Lease(target_tag=tag, version=state.version, age_ms=age_ms)
+
+    def note_idle(self, idle: dict[int, flows.TargetCount]) -> None:
+        """Sets the idle flows by target, as the last sweep of the records counted them.
+
+        Args:
+            idle: Idle flows by target tag.
+        """
+        self._idle = idle
+
+    def _loads_for(self, member_id: int) -> list[peer_pb2.Load]:
+        """Reports on services whose placer the member is, or would be next."""
+        found = []
+        for tag, count in self._flows.counts.items():
+            state = self._table.states.get(tag)
+            if state is None:
+                continue
+            service_key = state.target.service.encode()
+            if member_id in self._members.placer_order(service_key)[:2]:
+                found.append(self._load(tag, count))
+        return found
+
+    def _load(self, tag: int, count: flows.TargetCount) -> peer_pb2.Load:
+        idle = self._idle.get(tag) or flows.TargetCount()
+        return peer_pb2.Load(
+            target_tag=tag,
+            short_count=count.short_count,
+            long_count=count.long_count,
+            idle_short_count=min(idle.short_count, count.short_count),
+            idle_long_count=min(idle.long_count, count.long_count),
+        )
+
+    def _report_to_self(self, now_s: float) -> None:
+        own_id = self._members.own.id
+        self._take_loads(own_id, self._loads_for(own_id), now_s)
+
+    def _take_loads(self, member_id: int, found: Iterable[peer_pb2.Load], now_s: float) -> None:
+        for body in found:
+            state = self._table.states.get(body.target_tag)
+            if state is None:
+                continue
+            report = loads.Report(
+                short_count=body.short_count,
+                long_count=body.long_count,
+                idle_short_count=body.idle_short_count,
+                idle_long_count=body.idle_long_count,
+                received_s=now_s,
+            )
+            self._placing.load_of(state.target).note_report(member_id, report)
+
+    def handle(self, datagram: peer_pb2.Datagram, now_s: float) -> bool:
+        """Handles a checked datagram, if it is one of the gossip's.
+
+        Args:
+            datagram: The datagram.
+            now_s: Current time.
+
+        Returns:
+            Whether it was.
+        """
+        field = datagram.WhichOneof("body")
+        handler = _HANDLERS.get(field)
+        if handler is None:
+            return False
+        handler(self, datagram.sender_id, getattr(datagram, field), now_s)
+        return True
+
+    @_handles("heartbeat")
+    def _on_heartbeat(self, sender_id: int, body: peer_pb2.Heartbeat, now_s: float) -> None:
+        own_id = self._members.own.id
+        known = self._members.members
+        unknown = [i for i in (sender_id, *body.heard_ids) if i not in known]
+        if unknown:
+            self._ask_members(sender_id, unknown, now_s)
+        member = known.get(sender_id)
+        if member is None:
+            return
+        hears_us = own_id in body.heard_ids
+        state = membership.MemberState(body.state)
+        self._members.note_heartbeat(sender_id, state, hears_us, now_s)
+        member.acknowledges_leave = own_id in body.leave_ack_ids
+        member.rule_number = body.rule_number
+        if body.rule_number > self._book.number:
+            self._fetch_rules(member, now_s)
+        self._take_leases(sender_id, body.leases, now_s)
+        self._take_loads(sender_id, body.loads, now_s)
+
+    def _fetch_rules(self, member: membership.Member, now_s: float) -> None:
+        if now_s - self._asked_s.get(0, -1e9) >= REQUEST_PAUSE_S:
+            self._asked_s[0] = now_s
+            self._out.fetch_rules(member, member.rule_number)
+
+    def _take_leases(self, sender_id: int, leases: Iterable[peer_pb2.Lease], now_s: float) -> None:
+        wanted = []
+        for lease in leases:
+            state = self._table.states.get(lease.target_tag)
+            if state is None or state.version < lease.version:
+                wanted.append(lease.target_tag)
+                continue
+            state.renewed_s = max(state.renewed_s, now_s - lease.age_ms / 1000)
+        if wanted:
+            body = peer_pb2.TargetRequest(target_tags=wanted)
+            self._out.control(sender_id, peer_pb2.Datagram(target_request=body))
+
+    def _ask_members(self, sender_id: int, unknown: list[int], now_s: float) -> None:
+        endpoint_known = sender_id in self._members.members
+        if not endpoint_known or now_s - self._asked_s.get(sender_id, -1e9) < REQUEST_PAUSE_S:
+            return
+        self._asked_s[sender_id] = now_s
+        body = peer_pb2.MemberRequest(member_ids=unknown)
+        self._out.control(sender_id, peer_pb2.Datagram(member_request=body))
+
+    @_handles("member_request")
+    def _on_member_request(
+        self, sender_id: int, body: peer_pb2.MemberRequest, now_s: float
+    ) -> None:
+        known = self._members.members
+        found = [_member_record(known[i]) for i in body.member_ids if i in known]
+        if found:
+            table = peer_pb2.MemberTable(members=found)
+            self._out.control(sender_id, peer_pb2.Datagram(member_table=table))
+
+    @_handles("member_table")
+    def _on_member_table(self, sender_id: int, body: peer_pb2.MemberTable, now_s: float) -> None:
+        for record in body.members:
+            member = _member(record)
+            if not self._members.learn(member, now_s):
+                continue
+            self._out.log(events.MEMBER_LEARNT, member.name, f"zone {member.zone}")
+            if member.id == sender_id:
+                self._welcome(member.id, now_s)
+
+    def _welcome(self, member_id: int, now_s: float) -> None:
+        """Sends a new member all members and targets, so that it can serve."""
+        records = [_member_record(m) for m in self._members.members.values() if m.id != member_id]
+        table = peer_pb2.MemberTable(members=records)
+        self._out.control(member_id, peer_pb2.Datagram(member_table=table))
+        states = list(self._table.states.values())
+        for start in range(0, len(states), TABLE_CHUNK):
+            chunk = _target_table(states[start : start + TABLE_CHUNK], now_s)
+            self._out.control(member_id, peer_pb2.Datagram(target_table=chunk))
+
+    @_handles("target_table")
+    def _on_target_table(self, sender_id: int, body: peer_pb2.TargetTable, now_s: float) -> None:
+        for record in body.targets:
+            state = _target_state(record, now_s)
+            if self._merge(state, now_s):
+                merged = self._table.states[state.target.tag]
+                known_s = now_s - record.known_ms / 1000
+                merged.first_seen_s = min(merged.first_seen_s, known_s)
+
+    @_handles("target_request")
+    def _on_target_request(
+        self, sender_id: int, body: peer_pb2.TargetRequest, now_s: float
+    ) -> None:
+        known = self._table.states
+        states = [known[tag] for tag in body.target_tags[:TABLE_CHUNK] if tag in known]
+        if states:
+            table = _target_table(states, now_s)
+            self._out.control(sender_id, peer_pb2.Datagram(target_table=table))
+
+
+def _member_record(member: membership.Member) -> peer_pb2.Member:
+    return peer_pb2.Member(
+        name=member.name,
+        zone=member.zone,
+        host=member.host,
+        data_port=member.data_port,
+        control_port=member.control_port,
+        http_port=member.http_port,
+        incarnation=member.incarnation,
+        state=int(member.state),
+    )
+
+
+def _member(record: peer_pb2.Member) -> membership.Member:
+    return membership.Member(
+        name=record.name,
+        zone=record.zone,
+        host=record.host,
+        data_port=record.data_port,
+        control_port=record.control_port,
+        http_port=record.http_port,
+        incarnation=record.incarnation,
+        state=membership.MemberState(record.state),
+    )
+
+
+def _target_table(states: Iterable[targets.TargetState], now_s: float) -> peer_pb2.TargetTable:
+    return peer_pb2.TargetTable(targets=[_target_record(state, now_s) for state in states])
+
+
+def _target_record(state: targets.TargetState, now_s: float) -> peer_pb2.TargetRecord:
+    target = state.target
+    return peer_pb2.TargetRecord(
+        address=target.address,
+        port=target.port,
+        service=target.service,
+        incarnation=target.incarnation,
+        version=state.version,
+        is_draining=state.is_draining,
+        slot_count=target.slot_count,
+        connection_limit=target.connection_limit,
+        zone=target.zone,
+        geneve_port=target.geneve_port,
+        age_ms=int(max(0.0, now_s - state.renewed_s) * 1000),
+        lease_ms=int(state.lease_s * 1000),
+        health_address=target.health_address,
+        known_ms=int(max(0.0, now_s - state.first_seen_s) * 1000),
+    )
+
+
+def _target_state(record: peer_pb2.TargetRecord, now_s: float) -> targets.TargetState:
+    target = targets.Target(
+        address=record.address,
+        port=record.port,
+        service=record.service,
+        incarnation=record.incarnation,
+        geneve_port=record.geneve_port,
+        slot_count=record.slot_count,
+        connection_limit=record.connection_limit,
+        zone=record.zone,
+        health_address=record.health_address,
+    )
+    return targets.TargetState(
+        target=target,
+        version=record.version,
+        is_draining=record.is_draining,
+        renewed_s=now_s - record.age_ms / 1000,
+        lease_s=record.lease_ms / 1000,
+    )
--- /dev/null
+++ b/zinniaspoke/outbox.py
@@ -0,0 +1,133 @@
+"""The outbox: collects the actions of one core call and counts what they send."""
+
+from zinniaspoke import (
+    actions,
+    counters,
+    datagrams,
+    events,
+    geneve,
+    membership,
+    targets,
+)
+from zinniaspoke.proto import peer_pb2
+
+
+class Outbox:
+    """Collects typed actions; the core hands them to its adapter after each call."""
+
+    def __init__(
+        self,
+        *,
+        members: membership.Membership,
+        sealer: datagrams.Sealer,
+        fabric: tuple[str, int],
+        counts: counters.Counters,
+    ) -> None:
+        """Sets where packets go.
+
+        Args:
+            members: Endpoints of the siblings.
+            sealer: Signs control datagrams; its first key signs steered packets too.
+            fabric: Where packets for callers go.
+            counts: Counters to raise.
+        """
+        self._members = members
+        self._sealer = sealer
+        self._fabric = fabric
+        self._counts = counts
+        self._actions: list[actions.Action] = []
+
+    def take(self) -> list[actions.Action]:
+        """Returns the collected actions and starts anew."""
+        taken, self._actions = self._actions, []
+        return taken
+
+    def to_target(self, target: targets.Target, inner: bytes) -> None:
+        """Sends a caller's packet to a target.
+
+        Args:
+            target: Where to.
+            inner: The IP packet.
+        """
+        data = geneve.encapsulate(inner)
+        self._counts.data_bytes_sent += len(data)
+        self._actions.append(actions.SendPacket(endpoint=target.endpoint, data=data))
+
+    def to_fabric(self, inner: bytes) -> None:
+        """Sends a packet to a caller by way of the fabric.
+
+        Args:
+            inner: The IP packet.
+        """
+        data = geneve.encapsulate(inner)
+        self._counts.data_bytes_sent += len(data)
+        self._actions.append(actions.SendPacket(endpoint=self._fabric, data=data))
+
+    def to_sibling(self, member_id: int, inner: bytes, steering: geneve.Steering) -> None:
+        """Passes a packet on to a sibling.
+
+        Args:
+            member_id: Which sibling.
+            inner: The IP packet.
+            steering: What the sibling is asked to do.
+        """
+        member = self._members.members.get(member_id)
+        if member is None:
+            self._counts.drops["unknown_member"] += 1
+            return
+        steering.sender_id = self._members.own.id
+        data = geneve.encapsulate_steered(inner, steering, self._sealer.keys[0])
+        self._counts.forwarded_bytes_sent += len(data)
+        self._actions.append(actions.SendPacket(endpoint=member.data_endpoint, data=data))
+
+    def control(self, member_id: int, body: peer_pb2.Datagram) -> int:
+        """Sends a control datagram to a member.
+
+        Args:
+            member_id: Which member.
+            body: The unsigned body.
+
+        Returns:
+            Its size in bytes; 0 where the member is not known.
+        """
+        member = self._members.members.get(member_id)
+        if member is None:
+            return 0
+        return self.control_to(member.control_endpoint, body)
+
+    def control_to(self, endpoint: tuple[str, int], body: peer_pb2.Datagram) -> int:
+        """Sends a control datagram to an endpoint, such as a seed not yet known by name.
+
+        Args:
+            endpoint: IP number and UDP port.
+            body: The unsigned body.
+
+        Returns:
+            Its size in bytes.
+        """
+        data = self._sealer.seal(body)
+        self._counts.control_bytes_sent += len(data)
+        self._actions.append(actions.SendControl(endpoint=endpoint, data=data))
+        return len(data)
+
+    def fetch_rules(self, member: membership.Member, number: int) -> None:
+        """Asks for a rule file that a sibling has.
+
+        Args:
+            member: The sibling.
+            number: The number that it has in force.
+        """
+        self._actions.append(
+            actions.FetchRules(host=member.host, port=member.http_port, number=number)
+        )
+
+    def log(self, event: events.Event, peer: str, detail: str) -> None:
+        """Logs a numbered event.
+
+        Args:
+            event: Which event.
+            peer: Whom it concerns.
+            detail: What happened, in words.
+        """
+        self._counts.events[event.name] += 1
+        self._actions.append(actions.Log(event=event, peer=peer, detail=detail))
--- /dev/null
+++ b/zinniaspoke/placement.py
@@ -0,0 +1,208 @@
+"""Placement policies: which target a new flow gets."""
+
+import abc
+import random
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from zinniaspoke import errors, hashing, loads, targets
+
+BOUNDED_LOAD_FACTOR = 1.25
+HOT_QUANTILE = 0.75
+DEFAULT_POLICY = "reserved"
+
+_POLICIES: dict[str, type["Policy"]] = {}
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A flow to place.
+
+    Attributes:
+        flow: The flow's key.
+        is_long: Whether its work is expected to run long.
+        now_s: Current time.
+    """
+
+    flow: bytes
+    is_long: bool
+    now_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A target that may take the flow.
+
+    Attributes:
+        state: What it announced.
+        load: What the placer counts of it.
+    """
+
+    state: targets.TargetState
+    load: loads.TargetLoad
+
+
+HOLD = errors.Nothing(reason="all_slots_taken")
+
+
+class Policy(abc.ABC):
+    """Chooses a target for a new flow."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        """Sets the source of randomness.
+
+        Args:
+            rng: Seeded random source.
+        """
+        self._rng = rng
+
+    @abc.abstractmethod
+    def choose(
+        self, request: Request, candidates: Sequence[Candidate]
+    ) -> targets.Target | errors.Nothing:
+        """Chooses a target.
+
+        Args:
+            request: The flow.
+            candidates: At least one target that takes new work.
+
+        Returns:
+            The target, or ``HOLD`` where the flow should wait for a slot.
+        """
+
+
+def register(name: str) -> Callable[[type[Policy]], type[Policy]]:
+    """Registers a policy under a name for the settings.
+
+    Args:
+        name: The policy's name.
+
+    Returns:
+        The class decorator.
+    """
+
+    def add(policy: type[Policy]) -> type[Policy]:
+        _POLICIES[name] = policy
+        return policy
+
+    return add
+
+
+def names() -> list[str]:
+    """Returns the names of all policies."""
+    return sorted(_POLICIES)
+
+
+def create(name: str, rng: random.Random) -> Policy:
+    """Creates a policy.
+
+    Args:
+        name: A name from ``names``.
+        rng: Seeded random source.
+
+    Returns:
+        The policy.
+    """
+    return _POLICIES[name](rng=rng)
+
+
+def _base_first(
+    request: Request, candidates: Sequence[Candidate], cost: Callable[[Candidate], float]
+) -> targets.Target:
+    """Returns a cheapest candidate, the first in rendezvous order among equals."""
+    lowest = min(cost(candidate) for candidate in candidates)
+    tied = [c.state.target for c in candidates if cost(c) == lowest]
+    return tied[0] if len(tied) == 1 else targets.base_of(request.flow, tied)
+
+
+@register("random")
+class RandomPolicy(Policy):
+    """Takes any target with equal chance."""
+
+    def choose(self, request: Request, candidates: Sequence[Candidate]) -> targets.Target:
+        """See ``Policy.choose``."""
+        return self._rng.choice(candidates).state.target
+
+
+@register("base")
+class BasePolicy(Policy):
+    """Takes the first target in rendezvous order."""
+
+    def choose(self, request: Request, candidates: Sequence[Candidate]) -> targets.Target:
+        """See ``Policy.choose``."""
+        return targets.base_of(request.flow, [c.state.target for c in candidates])
+
+
+@register("bounded")
+class BoundedLoadPolicy(Policy):
+    """Takes the first in rendezvous order whose load is within a factor of the mean.
+
+    Consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018).
+    """
+
+    def choose(self, request: Request, candidates: Sequence[Candidate]) -> targets.Target:
+        """See ``Policy.choose``."""
+        total = sum(c.load.open_count for c in candidates) + 1
+        bound = BOUNDED_LOAD_FACTOR * total / len(candidates)
+        by_tag = {c.state.target.tag: c for c in candidates}
+        for tag in hashing.order(request.flow, list(by_tag)):
+            if by_tag[tag].load.open_count + 1 <= bound:
+                return by_tag[tag].state.target
+        return _base_first(request, candidates, lambda c: c.load.open_count)
+
+
+@register("least_open")
+class LeastOpenPolicy(Policy):
+    """Takes the target with the fewest open flows."""
+
+    def choose(self, request: Request, candidates: Sequence[Candidate]) -> targets.Target:
+        """See ``Policy.choose``."""
+        return _base_first(request, candidates, lambda c: c.load.open_count)
+
+
+@register("two_choices")
+class TwoChoicesPolicy(Policy):
+    """Samples two targets: the faster cold one, else the less loaded hot one.
+
+    In the manner of hot and cold probing (Prequal, NSDI 2024), on counts seen here.
+    """
+
+    def choose(self, request: Request, candidates: Sequence[Candidate]) -> targets.Target:
+        """See ``Policy.choose``."""
+        counts = sorted(c.load.open_count for c in candidates)
+        hot_count = counts[min(len(counts) - 1, int(HOT_QUANTILE * len(counts)))]
+        sample = self._rng.sample(list(candidates), min(2, len(candidates)))
+        cold = [c for c in sample if c.load.open_count < max(1, hot_count)]
+        if cold:
+            return _base_first(request, cold, lambda c: c.load.latency_s)
+        return _base_first(request, sample, lambda c: c.load.open_count)
+
+
+@register("reserved")
+class ReservedSlotPolicy(Policy):
+    """Takes a free slot by exact counts, keeps one slot a target from long work, else holds."""
+
+    def choose(
+        self, request: Request, candidates: Sequence[Candidate]
+    ) -> targets.Target | errors.Nothing:
+        """See ``Policy.choose``."""
+        free = [c for c in candidates if self._has_room(request, c)]
+        if not free:
+            return HOLD
+        return _base_first(request, free, lambda c: self._cost(request, c))
+
+    @staticmethod
+    def _has_room(request: Request, candidate: Candidate) -> bool:
+        slot_count = candidate.load.slot_share(candidate.state, request.now_s)
+        if candidate.load.running_count >= slot_count:
+            return False
+        if not request.is_long:
+            return True
+        long_slot_count = max(1, candidate.load.target.slot_count - 1)
+        return candidate.load.running_long_count < long_slot_count
+
+    @staticmethod
+    def _cost(request: Request, candidate: Candidate) -> float:
+        """Orders by free slots; long work gathers where short work is not crowded out."""
+        return candidate.load.running_count / candidate.load.target.slot_count
--- /dev/null
+++ b/zinniaspoke/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated message classes; regenerate with proto/generate.sh."""
--- /dev/null
+++ b/zinniaspoke/rules.py
@@ -0,0 +1,213 @@
+"""Rule files: one line per rule, each with a comment that names who asked and why."""
+
+import ipaddress
+from collections.abc import Callable
+
+import attrs
+
+from zinniaspoke import errors, packets
+
+SIZE_LIMIT_BYTES = 16 * 1024 * 1024
+PROTOCOLS = {"tcp": packets.TCP, "udp": packets.UDP}
+WORK_CLASSES = ("short", "long")
+
+_OPTIONS: dict[str, Callable[[str], object]] = {}
+
+
+def _option(name: str) -> Callable:
+    """Registers the parser of one rule option under its name."""
+
+    def register(parse: Callable[[str], object]) -> Callable[[str], object]:
+        _OPTIONS[name] = parse
+        return parse
+
+    return register
+
+
+@_option("class")
+def _parse_class(text: str) -> str:
+    if text not in WORK_CLASSES:
+        raise ValueError(f"class is one of {', '.join(WORK_CLASSES)}, not {text!r}")
+    return text
+
+
+@_option("idle_s")
+def _parse_idle(text: str) -> float:
+    return _positive_number("idle_s", text)
+
+
+@_option("wait_s")
+def _parse_wait(text: str) -> float:
+    return _positive_number("wait_s", text)
+
+
+def _positive_number(name: str, text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 < value < 1e6:
+        raise ValueError(f"{name} is a number of seconds above 0, not {text!r}")
+    return value
+
+
+@attrs.frozen(kw_only=True)
+class Rule:
+    """One rule.
+
+    Attributes:
+        address: Service address, 4 or 16 bytes.
+        port: Service port.
+        protocol: ``packets.TCP`` or ``packets.UDP``.
+        service: Name under which targets announce themselves.
+        work_class: ``"short"`` or ``"long"``: what work to expect.
+        idle_s: A flow that is silent for this long is forgotten.
+        wait_s: Longest wait of an opening for a free slot.
+        comment: Who asked for the rule and why.
+        line: Line number in the file.
+    """
+
+    address: bytes
+    port: int
+    protocol: int
+    service: str
+    work_class: str = "short"
+    idle_s: float = 900.0
+    wait_s: float = 2.0
+    comment: str
+    line: int
+
+    @property
+    def key(self) -> bytes:
+        """What a packet is matched by: protocol, address and port."""
+        return service_key(self.protocol, self.address, self.port.to_bytes(2, "big"))
+
+    @property
+    def is_long(self) -> bool:
+        """Whether the work behind this address is expected to run long."""
+        return self.work_class == "long"
+
+
+def service_key(protocol: int, address: bytes, port: bytes) -> bytes:
+    """Builds the key by which a packet finds its rule.
+
+    Args:
+        protocol: ``packets.TCP`` or ``packets.UDP``.
+        address: Service address, 4 or 16 bytes.
+        port: Service port, 2 bytes.
+
+    Returns:
+        The key: protocol, address, port.
+    """
+    return protocol.to_bytes(1, "big") + address + port
+
+
+@attrs.frozen(kw_only=True)
+class RuleSet:
+    """An accepted rule file.
+
+    Attributes:
+        number: The file's number; 0 where none was accepted yet.
+        content: The file's bytes.
+        rules: The rules by service key.
+    """
+
+    number: int
+    content: bytes
+    rules: dict[bytes, Rule]
+
+    def services(self) -> frozenset[str]:
+        """Returns the names of the services that the rules name."""
+        return frozenset(rule.service for rule in self.rules.values())
+
+
+EMPTY = RuleSet(number=0, content=b"", rules={})
+
+
+def parse(number: int, content: bytes) -> RuleSet:
+    """Checks a rule file whole.
+
+    Args:
+        number: The file's number.
+        content: The file's bytes, UTF-8.
+
+    Returns:
+        The rules.
+
+    Raises:
+        errors.RuleError: Some lines are wrong; the reason names each with its number.
+    """
+    if len(content) > SIZE_LIMIT_BYTES:
+        raise _error(f"file is larger than {SIZE_LIMIT_BYTES} bytes")
+    try:
+        text = content.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise _error(f"not UTF-8 at byte {error.start}") from error
+    found: dict[bytes, Rule] = {}
+    faults: list[str] = []
+    for line, body in enumerate(text.splitlines(), start=1):
+        if not body.strip() or body.lstrip().startswith("#"):
+            continue
+        try:
+            rule = _parse_line(line, body)
+        except ValueError as error:
+            faults.append(f"line {line}: {error}")
+            continue
+        if rule.key in found:
+            faults.append(f"line {line}: same address as line {found[rule.key].line}")
+        found[rule.key] = rule
+    if faults:
+        raise _error("; ".join(faults))
+    return RuleSet(number=number, content=content, rules=found)
+
+
+def _error(reason: str) -> errors.RuleError:
+    return errors.RuleError(step="check rule file", peer="operator", reason=reason)
+
+
+def _parse_line(line: int, body: str) -> Rule:
+    statement, mark, comment = body.partition("#")
+    if not mark or not comment.strip():
+        raise ValueError("no comment that names who asked and why")
+    words = statement.split()
+    if len(words) < 3:
+        raise ValueError("expected: ADDRESS PROTOCOL SERVICE [OPTION=VALUE …] # who and why")
+    address, port = _parse_address(words[0])
+    if words[1] not in PROTOCOLS:
+        raise ValueError(f"protocol is one of {', '.join(PROTOCOLS)}, not {words[1]!r}")
+    service = words[2]
+    if not service.replace("-", "").replace("_", "").isalnum():
+        raise ValueError(f"service {service!r} has characters beyond letters, digits, - and _")
+    return Rule(
+        address=address,
+        port=port,
+        protocol=PROTOCOLS[words[1]],
+        service=service,
+        comment=comment.strip(),
+        line=line,
+        **_parse_options(words[3:]),
+    )
+
+
+def _parse_address(text: str) -> tuple[bytes, int]:
+    host, mark, port_text = text.rpartition(":")
+    if not mark or not port_text.isdigit() or not 0 < int(port_text) < 65536:
+        raise ValueError(f"address {text!r} is not ADDRESS:PORT")
+    try:
+        address = ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError(f"{host!r} is not an IP number") from None
+    return address.packed, int(port_text)
+
+
+def _parse_options(words: list[str]) -> dict[str, object]:
+    options: dict[str, object] = {}
+    for word in words:
+        name, mark, value = word.partition("=")
+        if not mark or name not in _OPTIONS:
+            raise ValueError(f"unknown option {word!r}; known are {', '.join(sorted(_OPTIONS))}")
+        field = "work_class" if name == "class" else name
+        if field in options:
+            raise ValueError(f"option {name!r} stands twice")
+        options[field] = _OPTIONS[name](value)
+    return options
--- /dev/null
+++ b/zinniaspoke/targets.py
@@ -0,0 +1,227 @@
+"""Targets: what announced itself, its lease, and the views kept for base targets."""
+
+import ipaddress
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from zinniaspoke import errors, hashing
+
+LEASE_GRACE_S = 3.0
+VIEW_RETENTION_S = 900.0
+VIEW_LIMIT = 8
+
+
+@attrs.frozen(kw_only=True)
+class Target:
+    """One process that serves one service.
+
+    A new process at an old address is another target, because its incarnation differs.
+
+    Attributes:
+        address: IP address, 4 or 16 bytes.
+        port: Port that the service listens on there.
+        service: Name of the service.
+        incarnation: Number that rises with every new process at the address.
+        geneve_port: UDP port at which the target's kernel unwraps packets.
+        slot_count: Pieces of work that it runs at once.
+        connection_limit: Connections that it takes.
+        zone: Its availability zone.
+        health_address: Where its health can be asked, or empty.
+        tag: 32-bit hash of address, port, service and incarnation.
+    """
+
+    address: bytes
+    port: int
+    service: str
+    incarnation: int
+    geneve_port: int
+    slot_count: int = attrs.field(eq=False, default=2)
+    connection_limit: int = attrs.field(eq=False, default=2000)
+    zone: str = attrs.field(eq=False, default="")
+    health_address: str = attrs.field(eq=False, default="")
+    tag: int = attrs.field(init=False, eq=False)
+    endpoint: tuple[str, int] = attrs.field(init=False, eq=False, repr=False)
+
+    @tag.default
+    def _compute_tag(self) -> int:
+        return hashing.short_hash(
+            self.address
+            + self.port.to_bytes(2, "big")
+            + self.incarnation.to_bytes(8, "big")
+            + self.service.encode()
+        )
+
+    @endpoint.default
+    def _compute_endpoint(self) -> tuple[str, int]:
+        return str(ipaddress.ip_address(self.address)), self.geneve_port
+
+    @property
+    def name(self) -> str:
+        """Address, service and incarnation for people."""
+        return f"{self.service}@{self.endpoint[0]}/{self.incarnation}"
+
+
+@attrs.define(kw_only=True, slots=True)
+class TargetState:
+    """What is known of a target now.
+
+    Attributes:
+        target: Which target.
+        version: Rises with every announcement that changes something.
+        is_draining: Whether it takes no new work.
+        renewed_s: When its lease was last renewed, on this VM's clock.
+        lease_s: How long a renewal holds.
+        is_replaced: Whether a newer incarnation stands at its address.
+        first_seen_s: When this VM first heard of it.
+    """
+
+    target: Target
+    version: int
+    is_draining: bool
+    renewed_s: float
+    lease_s: float = LEASE_GRACE_S
+    is_replaced: bool = False
+    first_seen_s: float = 0.0
+
+    def takes_new_work(self, now_s: float) -> bool:
+        """Tells whether new flows may be placed here.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            True while it is ready, its lease holds, and no newer process has its address.
+        """
+        return not (self.is_draining or self.is_replaced or now_s - self.renewed_s >= self.lease_s)
+
+
+class TargetTable:
+    """All targets that an entry VM knows, by tag, service and address."""
+
+    FORGET_S = 3600.0
+
+    def __init__(self) -> None:
+        """Starts with no targets."""
+        self.states: dict[int, TargetState] = {}
+        self._by_service: dict[str, list[TargetState]] = {}
+        self._by_address: dict[bytes, list[TargetState]] = {}
+        self._views: dict[str, deque[tuple[float, tuple[int, ...]]]] = {}
+
+    def merge(self, incoming: TargetState, now_s: float) -> bool:
+        """Takes in an announcement, from the target itself or from a sibling.
+
+        Args:
+            incoming: The announced state; ``renewed_s`` is on this VM's clock.
+            now_s: Current time.
+
+        Returns:
+            True where the announcement changed more than the lease's time.
+        """
+        known = self.states.get(incoming.target.tag)
+        if known is None:
+            self._add(incoming, now_s)
+            return True
+        known.renewed_s = max(known.renewed_s, incoming.renewed_s)
+        if incoming.version <= known.version:
+            return False
+        known.version = incoming.version
+        known.is_draining = incoming.is_draining
+        known.lease_s = incoming.lease_s
+        return True
+
+    def _add(self, state: TargetState, now_s: float) -> None:
+        target = state.target
+        state.first_seen_s = now_s
+        for other in self._by_address.get(target.address, []):
+            if other.target.port != target.port or other.target.service != target.service:
+                continue
+            newer = other.target.incarnation > target.incarnation
+            (state if newer else other).is_replaced = True
+        self.states[target.tag] = state
+        self._by_service.setdefault(target.service, []).append(state)
+        self._by_address.setdefault(target.address, []).append(state)
+        self._retain_view(target.service, now_s)
+
+    def _retain_view(self, service: str, now_s: float) -> None:
+        tags = tuple(sorted(s.target.tag for s in self._by_service[service] if not s.is_replaced))
+        views = self._views.setdefault(service, deque(maxlen=VIEW_LIMIT))
+        views.append((now_s, tags))
+
+    def forget_expired(self, now_s: float) -> list[Target]:
+        """Drops targets whose lease lapsed long ago.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            The targets that were dropped.
+        """
+        gone = [s for s in self.states.values() if now_s - s.renewed_s > self.FORGET_S]
+        for state in gone:
+            del self.states[state.target.tag]
+            self._by_service[state.target.service].remove(state)
+            self._by_address[state.target.address].remove(state)
+            self._retain_view(state.target.service, now_s)
+        return [state.target for state in gone]
+
+    def of_service(self, service: str) -> list[TargetState]:
+        """Returns the states of a service's targets, draining and lapsed ones included."""
+        return self._by_service.get(service, [])
+
+    def at_address(self, address: bytes, service: str | None) -> Target | errors.Nothing:
+        """Finds the newest target at an address.
+
+        Args:
+            address: Outer source of a return packet, packed.
+            service: Service to prefer where several run there, or None.
+
+        Returns:
+            The target, or the reason why there is none.
+        """
+        found = self._by_address.get(address)
+        if not found:
+            return errors.Nothing(reason="unknown_target")
+        if len(found) > 1:
+            preferred = [s for s in found if s.target.service == service] or found
+            return max(preferred, key=lambda state: state.target.incarnation).target
+        return found[0].target
+
+    def base_target(self, flow: bytes, service: str, now_s: float) -> Target | errors.Nothing:
+        """Finds the base target on which every retained view agrees.
+
+        Args:
+            flow: The flow's key.
+            service: The flow's service.
+            now_s: Current time.
+
+        Returns:
+            The target, or the reason why there is none.
+        """
+        views = self._views.get(service)
+        if not views:
+            return errors.Nothing(reason="no_target")
+        current = views[-1]
+        kept = [v for v in views if v is current or now_s - v[0] <= VIEW_RETENTION_S]
+        choices = {hashing.first(flow, tags) for _, tags in kept if tags}
+        if len(choices) != 1:
+            return errors.Nothing(reason="views_disagree")
+        state = self.states.get(choices.pop())
+        if state is None:
+            return errors.Nothing(reason="views_disagree")
+        return state.target
+
+
+def base_of(flow: bytes, candidates: Iterable[Target]) -> Target:
+    """Returns the first of some targets in rendezvous order of a flow.
+
+    Args:
+        flow: The flow's key.
+        candidates: At least one target.
+
+    Returns:
+        The winner.
+    """
+    by_tag = {target.tag: target for target in candidates}
+    return by_tag[hashing.first(flow, list(by_tag))]
