--- a/zinniaspoke/demo.py
+++ b/zinniaspoke/demo.py
@@ -19,13 +19,12 @@
 from zinniaspoke.daemons import control as control_daemon
 from zinniaspoke.daemons import entry as entry_daemon
 from zinniaspoke.proto import control_pb2
-from zinniaspoke.standins import caller, fabric, target, traffic
+from zinniaspoke.standins import announcer, caller, fabric, traffic
 
 REPLICA_COUNT = 3
 ENTRY_COUNT = 6
 START_LIMIT_S = 8.0
 SHORT_FLOWS_PER_S = 60
-LONG_FLOWS_PER_SERVICE = 3
 IDLE_FLOWS_PER_SERVICE = 6
 LOAD_S = 16.0
 FINISH_LIMIT_S = 5.0
@@ -49,7 +48,7 @@
         wrong_service: Packets that reached a target of another service.
         repeated: Requests that ran more than once.
         late_openings: Openings at a target that had been draining for seconds.
-        imbalance: Largest over mean requests run, over the targets that stood all the time.
+        imbalance: Largest over mean seconds of work run, over the targets that stood all the time.
         control_bytes_per_s: Control bytes a second by entry VM, as the VM counted them.
     """
 
@@ -97,10 +96,9 @@
         self._net_octet = 64 + os.getpid() % 128
         self._tally = traffic.Traffic()
         self._net = fabric.Fabric(rng=self._child_rng())
-        self._callers = caller.Callers(net=self._net, tally=self._tally, rng=self._child_rng())
         self._entries: dict[str, entry_daemon.EntryDaemon] = {}
         self._controls: list[control_daemon.ControlDaemon] = []
-        self._targets: list[target.Target] = []
+        self._targets: list[announcer.AnnouncingTarget] = []
         self._tokens = {name: secrets.token_hex(12) for name in HOST_COUNTS}
         self._rules = rules.EMPTY
         self._started_s = 0.0
@@ -198,10 +196,12 @@
         )
         return daemon
 
-    def _new_target(self, service: str, host: str, incarnation: int) -> target.Target:
-        return target.Target(
+    def _new_target(
+        self, service: str, address: str, incarnation: int
+    ) -> announcer.AnnouncingTarget:
+        return announcer.AnnouncingTarget(
             service=service,
-            host=host,
+            address=address,
             port=SERVICE_PORT,
             incarnation=incarnation,
             token=self._tokens[service],
@@ -218,7 +218,7 @@
                 started = self._new_target(service, self._host(10 + block, 1 + index), 1)
                 await started.start()
                 self._targets.append(started)
-                self._steady.add(started.name)
+                self._steady.add(started.host.name)
 
     def _rule_file(self, number: int) -> rules.RuleSet:
         lines = [
@@ -267,8 +267,8 @@
         self._callers.open(rule=rule, **work)
 
     def _open_long(self) -> None:
-        for index in range(len(HOST_COUNTS)):
-            for _ in range(LONG_FLOWS_PER_SERVICE):
+        for index, host_count in enumerate(HOST_COUNTS.values()):
+            for _ in range(host_count):
                 work_s = self._rng.uniform(10.0, 14.0)
                 self._open(
                     f"1.{1 + index}",
@@ -305,13 +305,13 @@
     async def _change_things(self) -> None:
         await asyncio.sleep(2.0)
         drained = self._targets[0]
-        self._step(f"planned: drain of target {drained.name}")
+        self._step(f"planned: drain of target {drained.host.name}")
         await drained.drain()
-        self._steady.discard(drained.name)
+        self._steady.discard(drained.host.name)
         await asyncio.sleep(1.0)
         replaced = self._targets[8]
-        self._step(f"planned: replacement of target {replaced.name}")
-        self._steady.discard(replaced.name)
+        self._step(f"planned: replacement of target {replaced.host.name}")
+        self._steady.discard(replaced.host.name)
         replacing = asyncio.create_task(self._replace(replaced))
         await asyncio.sleep(1.0)
         self._step("planned: stop of entry-1")
@@ -329,14 +329,14 @@
         await self._kill("entry-3")
         await replacing
 
-    async def _replace(self, old: target.Target) -> None:
+    async def _replace(self, old: announcer.AnnouncingTarget) -> None:
         """Drains a target, waits for its flows, and starts a new process at its address."""
         await old.drain()
         await asyncio.sleep(1.0)
-        while old.open_count:
+        while old.host.open_count:
             await asyncio.sleep(0.1)
         await old.stop()
-        new = self._new_target(old.service, old.host, old.incarnation + 1)
+        new = self._new_target(old.host.service, old.host.host, old.host.incarnation + 1)
         await new.start()
         self._targets[self._targets.index(old)] = new
 
@@ -376,7 +376,13 @@
     async def _run(self) -> Result:
         loop = asyncio.get_running_loop()
         await self._net.start(self._host(3, 1), geneve.PORT)
-        self._callers.start()
+        self._callers = caller.Callers(
+            loop=loop,
+            transmit=self._net.send_from_caller,
+            tally=self._tally,
+            rng=self._child_rng(),
+        )
+        self._net.deliver = self._callers.receive
         await self._start_control()
         self._step(f"starting {ENTRY_COUNT} entry VMs in {len(ZONES)} availability zones")
         for number in range(ENTRY_COUNT):
@@ -426,7 +432,7 @@
     def _imbalance(self) -> float:
         by_service = collections.defaultdict(list)
         for name in self._steady:
-            by_service[name.partition("@")[0]].append(self._tally.placed.get(name, 0))
+            by_service[name.partition("@")[0]].append(self._tally.placed_s.get(name, 0.0))
         ratios = [max(c) * len(c) / sum(c) for c in by_service.values() if sum(c)]
         return max(ratios, default=0.0)
 
@@ -437,7 +443,6 @@
             await started.stop()
         for replica in self._controls:
             await replica.stop()
-        self._callers.stop()
         await self._net.stop()
 
 
@@ -464,7 +469,7 @@
         ("packets to a wrong service", result.wrong_service),
         ("requests run twice", result.repeated),
         ("openings on a drained target", result.late_openings),
-        ("imbalance (max/mean requests)", f"{result.imbalance:.2f}"),
+        ("imbalance (max/mean work)", f"{result.imbalance:.2f}"),
         ("control bytes/s, busiest entry VM", f"{result.control_bytes_per_s:.0f}"),
     ]
     return tabulate.tabulate(rows, headers=("counted at the stand-ins", ""), tablefmt="simple")
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -445,6 +445,11 @@
             if silent_s > flows.CLOSED_LINGER_S:
                 core.records.discard(record.key)
             return
+        if self._needs_copy(record, now_s):
+            self._offer_copy(record)
+        if core.members.home_id(record.key) != core.members.own.id:
+            self._demote(record, now_s)
+            return
         if silent_s > self._idle_limit_s(record):
             core.caller_path.reset_both(record, "idle")
             return
@@ -452,15 +457,23 @@
             core.records.reclassify(record)
         if not record.is_running(now_s):
             self._count_idle(record)
-        if self._needs_copy(record, now_s):
-            core.copying.offer(
-                copies.Copy(
-                    flow=record.key,
-                    target=record.target,
-                    sequence=record.caller_acknowledgment,
-                    is_long=record.is_long,
-                )
+
+    def _offer_copy(self, record: flows.Flow) -> None:
+        self._core.copying.offer(
+            copies.Copy(
+                flow=record.key,
+                target=record.target,
+                sequence=record.caller_acknowledgment,
+                is_long=record.is_long,
             )
+        )
+
+    def _demote(self, record: flows.Flow, now_s: float) -> None:
+        """Keeps a witness of a flow whose home has moved; the new home finds it here."""
+        core = self._core
+        sequence = record.caller_acknowledgment
+        core.records.discard(record.key)
+        core.witnesses.put(record.key, record.target, sequence, now_s)
 
     def _idle_limit_s(self, record: flows.Flow) -> float:
         size = (len(record.key) - 5) // 2
--- a/zinniaspoke/loads.py
+++ b/zinniaspoke/loads.py
@@ -27,6 +27,40 @@
     received_s: float
 
 
+@attrs.define(kw_only=True, slots=True)
+class Drift:
+    """The lasting difference between reported and own counts.
+
+    Openings and ends on their way make the two differ for a moment, either way; a count that was
+    lost makes them differ the same way at every look.
+
+    Attributes:
+        differences: The last differences, reported less own.
+    """
+
+    LOOK_COUNT = 3
+
+    differences: tuple[int, ...] = ()
+
+    def note(self, difference: int) -> int:
+        """Takes in a difference.
+
+        Args:
+            difference: Reported less own count, now.
+
+        Returns:
+            What to add to the own count: what all last looks had in common.
+        """
+        self.differences = (*self.differences, difference)[-self.LOOK_COUNT :]
+        if len(self.differences) < self.LOOK_COUNT:
+            return 0
+        lasting = min(self.differences, key=abs)
+        if any(d * lasting <= 0 for d in self.differences):
+            return 0
+        self.differences = ()
+        return lasting
+
+
 @attrs.define(kw_only=True, slots=True)
 class TargetLoad:
     """What the placer counts of one target.
@@ -42,6 +76,8 @@
         ejected_until_s: No new work before this time, while the floor allows.
         last_answer_s: When it last answered.
         reports: Homes' counts by member id.
+        short_drift: Compares own and reported counts of short work over time.
+        long_drift: Likewise for long work.
     """
 
     target: targets.Target
@@ -54,6 +90,8 @@
     ejected_until_s: float = 0.0
     last_answer_s: float = 0.0
     reports: dict[int, Report] = attrs.field(factory=dict)
+    short_drift: Drift = attrs.field(factory=Drift)
+    long_drift: Drift = attrs.field(factory=Drift)
 
     @property
     def open_count(self) -> int:
@@ -124,32 +162,19 @@
             del self.reports[member_id]
         short_count = sum(r.short_count for r in self.reports.values())
         long_count = sum(r.long_count for r in self.reports.values())
-        answered_count = self.open_count - self.unanswered_count
-        step = _step_towards(answered_count, short_count + long_count)
-        if step > 0 or self.short_count >= -step:
-            self.short_count += step
-        else:
-            self.long_count = max(0, self.long_count + step)
+        short_difference = short_count - max(0, self.short_count - self.unanswered_count)
+        self.short_count = max(0, self.short_count + self.short_drift.note(short_difference))
+        long_difference = long_count - self.long_count
+        self.long_count = max(0, self.long_count + self.long_drift.note(long_difference))
 
-    def slot_share(self, state: targets.TargetState, now_s: float) -> int:
-        """Returns the slots that may be used, fewer while a new target warms up.
+    def coldness(self, state: targets.TargetState, now_s: float) -> float:
+        """Tells how far a new target is from being warm.
 
         Args:
             state: The target's state.
             now_s: Current time.
 
         Returns:
-            At least one slot.
+            1.0 for a target just announced, falling to 0.0 once it is warm.
         """
-        slot_count = self.target.slot_count
-        age_s = now_s - state.first_seen_s
-        if age_s >= RAMP_S:
-            return slot_count
-        return max(1, int(slot_count * age_s / RAMP_S))
-
-
-def _step_towards(own: int, reported: int) -> int:
-    difference = reported - own
-    if abs(difference) <= 1:
-        return 0
-    return int(difference / 2)
+        return max(0.0, 1.0 - (now_s - state.first_seen_s) / RAMP_S)
--- a/zinniaspoke/placement.py
+++ b/zinniaspoke/placement.py
@@ -10,6 +10,7 @@
 
 BOUNDED_LOAD_FACTOR = 1.25
 HOT_QUANTILE = 0.75
+COLD_COST = 0.4
 DEFAULT_POLICY = "reserved"
 
 _POLICIES: dict[str, type["Policy"]] = {}
@@ -194,8 +195,7 @@
 
     @staticmethod
     def _has_room(request: Request, candidate: Candidate) -> bool:
-        slot_count = candidate.load.slot_share(candidate.state, request.now_s)
-        if candidate.load.running_count >= slot_count:
+        if candidate.load.running_count >= candidate.load.target.slot_count:
             return False
         if not request.is_long:
             return True
@@ -204,5 +204,7 @@
 
     @staticmethod
     def _cost(request: Request, candidate: Candidate) -> float:
-        """Orders by free slots; long work gathers where short work is not crowded out."""
-        return candidate.load.running_count / candidate.load.target.slot_count
+        """Orders by taken slots; a cold target comes after warm ones that are as free."""
+        load = candidate.load
+        coldness = load.coldness(candidate.state, request.now_s)
+        return load.running_count / load.target.slot_count + COLD_COST * coldness
--- a/zinniaspoke/placer.py
+++ b/zinniaspoke/placer.py
@@ -22,7 +22,7 @@
 
 LONG_AFTER_S = 1.0
 PLACEMENT_AGE_S = 900.0
-RECONCILE_S = 2.0
+RECONCILE_S = 1.0
 SWEEP_SLICE_COUNT = 500
 
 
--- a/zinniaspoke/standins/traffic.py
+++ b/zinniaspoke/standins/traffic.py
@@ -37,7 +37,7 @@
         meant: The service that each flow's caller meant, by key.
         wrong_service_count: Packets that reached a target of another service.
         repeated_count: Requests that a second target ran too.
-        placed: Requests run, by target name.
+        placed_s: Seconds of work run, by target name.
         ran: Target that ran each request, by request id.
         late_openings: Openings that reached a target long after it announced to drain.
         step: The demo's present step.
@@ -47,7 +47,7 @@
     meant: dict[bytes, str] = attrs.field(factory=dict)
     wrong_service_count: int = 0
     repeated_count: int = 0
-    placed: dict[str, int] = attrs.field(factory=dict)
+    placed_s: dict[str, float] = attrs.field(factory=dict)
     ran: dict[str, str] = attrs.field(factory=dict)
     late_openings: int = 0
     step: str = ""
