--- a/zinniaspoke/caller_path.py
+++ b/zinniaspoke/caller_path.py
@@ -62,7 +62,6 @@
         self._out = out
         self._checks = checks
         self._counts = counts
-        self._progress_s: dict[int, float] = {}
 
     def from_fabric(self, packet: packets.Packet, now_s: float) -> None:
         """Steers a packet that the fabric handed to this VM.
@@ -178,15 +177,11 @@
     def _serve(self, packet: packets.Packet, record: flows.Flow, now_s: float) -> None:
         """Sends a packet of a known flow to the flow's target."""
         target = record.target
-        state = self._table.states.get(target.tag)
-        if state is not None and state.is_replaced:
+        if self._table.is_replaced(target):
             self._reset_orphan(packet, record)
             return
-        was_awaiting = record.awaits_answer
         record.note_caller_packet(packet, now_s)
         self._records.settle(record)
-        if was_awaiting and not record.awaits_answer:
-            self._progress_s[target.tag] = now_s
         if record.retransmit_count >= SILENT_RETRANSMIT_COUNT and self._is_silent(record, now_s):
             self.reset_both(record, "silent")
             return
@@ -199,7 +194,8 @@
         """Tells one flow's silence from that of its whole target or path."""
         if now_s - record.stalled_s < SILENT_S:
             return False
-        return self._progress_s.get(record.target.tag, -1e9) > record.stalled_s
+        state = self._table.states.get(record.target.tag)
+        return state is not None and state.answered_s > record.stalled_s
 
     def _reset_orphan(self, packet: packets.Packet, record: flows.Flow) -> None:
         """Tells the caller that the flow's process is gone; its outcome is unknown."""
@@ -278,8 +274,7 @@
             self._counts.drops["unknown_target"] += 1
             return
         self._placing.note_end(packet.caller_flow, state.target, now_s)
-        if not state.is_replaced:
-            self._out.to_target(state.target, packet.raw)
+        self._out.to_target(state.target, packet.raw)
 
     def _recover(self, packet: packets.Packet, flow: bytes, now_s: float) -> None:
         """Finds the target of a flow that this home does not know."""
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -94,7 +94,11 @@
             sender_id=config.own.id, incarnation=config.own.incarnation, keys=config.keys
         )
         self.out = outbox.Outbox(
-            members=self.members, sealer=self._sealer, fabric=config.fabric, counts=self.counts
+            members=self.members,
+            table=self.table,
+            sealer=self._sealer,
+            fabric=config.fabric,
+            counts=self.counts,
         )
         checks = invariants.Invariants(out=self.out, is_strict=config.is_strict)
         self.placing = placer.Placer(
--- a/zinniaspoke/flows.py
+++ b/zinniaspoke/flows.py
@@ -11,7 +11,7 @@
 WITNESS_IDLE_S = 900.0
 CLOSED_LINGER_S = 5.0
 SEQUENCE_WINDOW_BYTES = 1 << 24
-RUNNING_GAP_S = 0.5
+RUNNING_GAP_S = 0.2
 
 
 class Stage(enum.IntEnum):
--- a/zinniaspoke/hashing.py
+++ b/zinniaspoke/hashing.py
@@ -1,11 +1,11 @@
 """Rendezvous hashing over xxhash (Thaler and Ravishankar, 1998)."""
 
+import functools
 from collections.abc import Sequence
-from typing import TypeVar
 
 import xxhash
 
-Choice = TypeVar("Choice")
+SLOT_COUNT = 4096
 
 
 def short_hash(data: bytes) -> int:
@@ -59,6 +59,21 @@
     return sorted(seeds, key=lambda seed: (xxhash.xxh3_64_intdigest(key, seed), seed), reverse=True)
 
 
+@functools.lru_cache(maxsize=512)
+def _slot_weights(seed: int) -> tuple[int, ...]:
+    """Weights of one choice for every slot; computed once for each choice."""
+    return tuple(weight(slot.to_bytes(2, "big"), seed) for slot in range(SLOT_COUNT))
+
+
+def slot_of(key: bytes) -> int:
+    """Returns the slot of a key.
+
+    Args:
+        key: What is placed.
+    """
+    return xxhash.xxh3_64_intdigest(key) & (SLOT_COUNT - 1)
+
+
 class SlotTable:
     """Looks up the first choice of a key with one hash and one index.
 
@@ -66,15 +81,14 @@
     that leaves moves only its own slots.
     """
 
-    SLOT_COUNT = 4096
-
     def __init__(self, *, seeds: Sequence[int]) -> None:
         """Builds the table.
 
         Args:
             seeds: The choices' numbers; at least one.
         """
-        self._slots = [first(slot.to_bytes(2, "big"), seeds) for slot in range(self.SLOT_COUNT)]
+        rows = zip(*(_slot_weights(seed) for seed in seeds), strict=True)
+        self._slots = [seeds[row.index(max(row))] for row in rows]
 
     def lookup(self, key: bytes) -> int:
         """Returns the choice for a key.
@@ -85,10 +99,10 @@
         Returns:
             The seed that holds the key's slot.
         """
-        return self._slots[xxhash.xxh3_64_intdigest(key) & (self.SLOT_COUNT - 1)]
+        return self._slots[xxhash.xxh3_64_intdigest(key) & (SLOT_COUNT - 1)]
 
-    @classmethod
-    def order(cls, key: bytes, seeds: Sequence[int]) -> list[int]:
+    @staticmethod
+    def order(key: bytes, seeds: Sequence[int]) -> list[int]:
         """Returns the choices in the order in which they take over a key.
 
         Args:
@@ -98,5 +112,5 @@
         Returns:
             All seeds; the first is what ``lookup`` returns over the same seeds.
         """
-        slot = xxhash.xxh3_64_intdigest(key) & (cls.SLOT_COUNT - 1)
-        return order(slot.to_bytes(2, "big"), seeds)
+        slot = slot_of(key)
+        return sorted(seeds, key=lambda seed: _slot_weights(seed)[slot], reverse=True)
--- a/zinniaspoke/outbox.py
+++ b/zinniaspoke/outbox.py
@@ -19,6 +19,7 @@
         self,
         *,
         members: membership.Membership,
+        table: targets.TargetTable,
         sealer: datagrams.Sealer,
         fabric: tuple[str, int],
         counts: counters.Counters,
@@ -27,11 +28,13 @@
 
         Args:
             members: Endpoints of the siblings.
+            table: The targets; one that was replaced gets no more packets.
             sealer: Signs control datagrams; its first key signs steered packets too.
             fabric: Where packets for callers go.
             counts: Counters to raise.
         """
         self._members = members
+        self._table = table
         self._sealer = sealer
         self._fabric = fabric
         self._counts = counts
@@ -49,6 +52,9 @@
             target: Where to.
             inner: The IP packet.
         """
+        if self._table.is_replaced(target):
+            self._counts.drops["replaced_target"] += 1
+            return
         data = geneve.encapsulate(inner)
         self._counts.data_bytes_sent += len(data)
         self._actions.append(actions.SendPacket(endpoint=target.endpoint, data=data))
--- a/zinniaspoke/return_path.py
+++ b/zinniaspoke/return_path.py
@@ -71,6 +71,8 @@
         flow = packet.return_flow
         address = self._pack(source_host)
         target = self._target_at(address, packet)
+        if target:
+            self._table.states[target.tag].answered_s = now_s
         if self._is_plain(packet, flow, now_s):
             if target:
                 self._witnesses.note(flow, target, packet, now_s)
--- a/zinniaspoke/targets.py
+++ b/zinniaspoke/targets.py
@@ -75,6 +75,7 @@
         lease_s: How long a renewal holds.
         is_replaced: Whether a newer incarnation stands at its address.
         first_seen_s: When this VM first heard of it.
+        answered_s: When a packet from it last passed this VM.
     """
 
     target: Target
@@ -84,6 +85,7 @@
     lease_s: float = LEASE_GRACE_S
     is_replaced: bool = False
     first_seen_s: float = 0.0
+    answered_s: float = -1e9
 
     def takes_new_work(self, now_s: float) -> bool:
         """Tells whether new flows may be placed here.
@@ -135,7 +137,7 @@
         target = state.target
         state.first_seen_s = now_s
         for other in self._by_address.get(target.address, []):
-            if other.target.port != target.port or other.target.service != target.service:
+            if other.target.port != target.port:
                 continue
             newer = other.target.incarnation > target.incarnation
             (state if newer else other).is_replaced = True
@@ -166,6 +168,15 @@
             self._retain_view(state.target.service, now_s)
         return [state.target for state in gone]
 
+    def is_replaced(self, target: Target) -> bool:
+        """Tells whether a newer process stands at a target's address.
+
+        Args:
+            target: Which target.
+        """
+        state = self.states.get(target.tag)
+        return state is not None and state.is_replaced
+
     def of_service(self, service: str) -> list[TargetState]:
         """Returns the states of a service's targets, draining and lapsed ones included."""
         return self._by_service.get(service, [])
