--- /dev/null
+++ b/tests/replicas.py
@@ -0,0 +1,153 @@
+"""Control cores on memory disks, joined by a network that loses, repeats, reorders and cuts."""
+
+import random
+
+from zinniaspoke import consensus, control, log, storage
+
+STEP_S = 0.02
+NAMES = {3: ("a", "b", "c"), 5: ("a", "b", "c", "d", "e")}
+RULE = b"10.0.0.1:80 tcp ledger # ana asked, for the counters: "
+
+
+class Cluster:
+    def __init__(self, *, count=3, seed=1):
+        self.names = NAMES[count]
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.disks = {name: storage.MemoryStorage(rng=self.rng) for name in self.names}
+        self.cores = {}
+        self.clock_shift_s = dict.fromkeys(self.names, 0.0)
+        self.cut = set()
+        self.loss = self.repeat = 0.0
+        self.in_flight = []
+        self.answers = {}
+        self.committed = {}
+        self.leaders = {}
+        self.highest = dict.fromkeys(self.names, 0)
+        for name in self.names:
+            self.start(name)
+
+    def time_of(self, name):
+        return self.now_s + self.clock_shift_s[name]
+
+    def start(self, name):
+        try:
+            entries = log.Log(files=self.disks[name])
+            self.cores[name] = control.Control(
+                name=name,
+                founders=self.names,
+                entries=entries,
+                rng=self.rng,
+                now_s=self.time_of(name),
+            )
+        except storage.Crash:
+            self.crash(name)
+
+    def crash(self, name):
+        self.cores.pop(name, None)
+        self.disks[name].crash()
+
+    def lose_disk(self, name):
+        self.cores.pop(name, None)
+        self.disks[name].wipe()
+
+    def guarded(self, name, call, *arguments):
+        """Runs a core; a crash that the disk was told to make ends the process."""
+        core = self.cores.get(name)
+        if core is None:
+            return None
+        try:
+            return call(core, *arguments)
+        except storage.Crash:
+            self.crash(name)
+            return None
+
+    def step(self):
+        self.now_s += STEP_S
+        for name in self.names:
+            self.guarded(name, lambda core, n=name: core.tick(self.time_of(n)))
+        self._carry()
+        self._check()
+
+    def run(self, seconds):
+        for _ in range(int(seconds / STEP_S)):
+            self.step()
+
+    def run_until(self, condition, limit_s=20.0):
+        deadline_s = self.now_s + limit_s
+        while not condition():
+            assert self.now_s < deadline_s, "not in time"
+            self.step()
+
+    def _carry(self):
+        arriving, self.in_flight = self.in_flight, []
+        self.rng.shuffle(arriving)
+        for message in arriving:
+            name = consensus.name_of(message.recipient)
+            self.guarded(name, lambda c, m=message, n=name: c.receive(m, self.time_of(n)))
+        for name, core in list(self.cores.items()):
+            for message in core.take_messages():
+                self._post(name, message)
+            for answer in core.take_answers():
+                self.answers[name, answer.ticket] = answer.reply
+
+    def _post(self, name, message):
+        if frozenset((name, consensus.name_of(message.recipient))) in self.cut:
+            return
+        copies = 0 if self.rng.random() < self.loss else 1 + (self.rng.random() < self.repeat)
+        self.in_flight.extend([message] * copies)
+
+    def isolate(self, name):
+        self.cut |= {frozenset((name, other)) for other in self.names if other != name}
+
+    def heal(self):
+        self.cut = set()
+
+    def _check(self):
+        """One leader a term, committed never lost or changed, number never down."""
+        for name, core in self.cores.items():
+            replica = core.replica
+            if replica.role is consensus.Role.LEADER:
+                known = self.leaders.setdefault(replica.term, replica.member)
+                assert known == replica.member, f"two leaders in term {replica.term}"
+            self._check_committed(core)
+            self.highest[name] = max(self.highest[name], core.history.number)
+
+    def _check_committed(self, core):
+        current = core.history.current
+        if current.number:
+            known = self.committed.setdefault(current.number, current.content)
+            assert known == current.content, f"rule file {current.number} changed"
+
+    def leader(self):
+        found = [
+            n
+            for n, core in self.cores.items()
+            if core.replica.role is consensus.Role.LEADER
+            and core.replica._log.term_at(core.replica.commit_index) == core.replica.term
+        ]
+        return max(found, key=lambda n: self.cores[n].replica.term) if found else None
+
+    def wait_leader(self):
+        self.run_until(lambda: self.leader() is not None)
+        return self.leader()
+
+    def submit(self, number, content=RULE, through=None):
+        """Submits and returns the key under which the answer comes."""
+        name = through or self.wait_leader()
+        ticket = self.guarded(name, lambda c: c.submit(number, content, self.time_of(name)))
+        return name, ticket
+
+    def accept(self, number, content=RULE):
+        """Submits until the answer is yes."""
+        deadline_s = self.now_s + 20.0
+        while self.now_s < deadline_s:
+            key = self.submit(number, content)
+            limit_s = self.now_s + 6.0
+            while key not in self.answers and self.now_s < limit_s:
+                self.step()
+            reply = self.answers.get(key)
+            if reply is not None and reply.outcome == 1:
+                return reply
+            assert reply is None or reply.outcome != 2, reply
+        raise AssertionError("not accepted in time")
