--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,100 @@
+"""The log on storage: torn tails are cut, damage inside is an error."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from zinniaspoke import errors, log, storage
+from zinniaspoke.proto import control_pb2
+
+
+def entry(index, term=1, content=b"x"):
+    file = control_pb2.RuleFile(number=index, content=content)
+    return control_pb2.LogEntry(index=index, term=term, rule_file=file)
+
+
+def filled(count=5):
+    disk = storage.MemoryStorage(rng=random.Random(1))
+    written = log.Log(files=disk)
+    written.append([entry(index, content=b"content " * 4) for index in range(1, count + 1)])
+    return disk, written
+
+
+@given(st.integers(1, 60))
+def test_torn_tail_is_cut_and_the_log_goes_on(lost_bytes):
+    disk, written = filled()
+    size_bytes = len(disk.read(log.LOG))
+    disk.truncate(log.LOG, size_bytes - lost_bytes)
+    again = log.Log(files=disk)
+    assert again.last_index == 5 - (1 + (lost_bytes - 1) // (size_bytes // 5))
+    again.append([entry(again.last_index + 1)])
+    assert log.Log(files=disk).last_index == again.last_index
+
+
+@pytest.mark.parametrize("offset", [0, 4, 9, 60, 100])
+def test_damage_inside_is_an_error_that_names_file_and_offset(offset):
+    disk, _ = filled()
+    disk.corrupt(log.LOG, offset)
+    with pytest.raises(errors.CorruptionError, match="log at offset"):
+        log.Log(files=disk)
+
+
+@pytest.mark.parametrize("name", [log.SNAPSHOT, log.STATE, log.IDENTITY])
+def test_damaged_single_records_are_errors(name):
+    disk, written = filled()
+    written.set_state(3, "a/1")
+    replica_set = control_pb2.ReplicaSet(voters=["a/1"])
+    written.install(control_pb2.Snapshot(last_index=2, last_term=1, replica_set=replica_set))
+    assert log.Log(files=disk).last_index == 5
+    disk.corrupt(name, 9)
+    with pytest.raises(errors.CorruptionError, match=name):
+        log.Log(files=disk)
+
+
+def test_crash_between_snapshot_and_log_keeps_a_log_that_continues_it():
+    for point in range(1, 30):
+        disk, written = filled()
+        disk.crash_at = disk.operation_count + point
+        replica_set = control_pb2.ReplicaSet(voters=["a/1"])
+        snapshot = control_pb2.Snapshot(last_index=3, last_term=1, replica_set=replica_set)
+        try:
+            written.install(snapshot)
+        except storage.Crash:
+            disk.crash()
+        assert log.Log(files=disk).last_index == 5
+
+
+def test_tail_that_does_not_continue_the_snapshot_is_dropped():
+    disk, written = filled()
+    replica_set = control_pb2.ReplicaSet(voters=["a/1"])
+    stored = control_pb2.Snapshot(last_index=3, last_term=2, replica_set=replica_set)
+    disk.replace(log.SNAPSHOT, log.encode_record(stored.SerializeToString()))
+    assert log.Log(files=disk).last_index == 3
+
+
+def test_disk_folder_is_held_by_one_process_and_must_be_writable(tmp_path):
+    folder = str(tmp_path / "data")
+    held = storage.DiskStorage(folder=folder)
+    with pytest.raises(errors.StorageError, match="lock data folder"):
+        storage.DiskStorage(folder=folder)
+    held.close()
+    (tmp_path / "file").write_text("")
+    with pytest.raises(errors.StorageError, match="open data folder"):
+        storage.DiskStorage(folder=str(tmp_path / "file"))
+
+
+def test_disk_round_trip(tmp_path):
+    files = storage.DiskStorage(folder=str(tmp_path))
+    written = log.Log(files=files)
+    written.append([entry(1), entry(2)])
+    written.truncate_from(2)
+    written.append([entry(2, term=2), entry(3, term=2)])
+    written.set_state(2, "a/1")
+    files.close()
+    files = storage.DiskStorage(folder=str(tmp_path))
+    again = log.Log(files=files)
+    assert (again.last_index, again.last_term, again.state.term) == (3, 2, 2)
+    assert again.identity == written.identity
+    files.close()
