--- a/zinniaspoke/adapters/http.py
+++ b/zinniaspoke/adapters/http.py
@@ -9,7 +9,7 @@
 import attrs
 from aiohttp import web
 
-from zinniaspoke import announcements, errors, ports, targets
+from zinniaspoke import announcements, errors, ports, status, targets
 from zinniaspoke import events as event_catalogue
 
 BODY_LIMIT_BYTES = 64 * 1024
@@ -41,7 +41,9 @@
         services: Names of the services that the rules in force name.
         is_ready: Whether the fabric should send packets here.
         rules: Number and bytes of the rule file in force.
-        status: What the VM knows, as JSON-ready data.
+        status: What the VM knows.
+        explain: What the VM knows of one flow.
+        hold: Drains a target by name, or takes that back; False where it is not known.
         metrics: Metrics as Prometheus text.
         begin_leave: Starts a planned leave.
     """
@@ -50,7 +52,9 @@
     services: Callable[[], frozenset[str]]
     is_ready: Callable[[], bool]
     rules: Callable[[], tuple[int, bytes]]
-    status: Callable[[], dict[str, object]]
+    status: Callable[[], status.EntryStatus]
+    explain: Callable[[bytes], status.FlowStatus]
+    hold: Callable[[str, bool], bool]
     metrics: Callable[[], bytes]
     begin_leave: Callable[[], None]
 
@@ -104,7 +108,10 @@
                 web.get("/rules", self._get_rules),
                 web.get("/status", self._get_status),
                 web.get("/metrics", self._get_metrics),
+                web.get("/flows/{flow}", self._get_flow),
                 web.post("/leave", self._post_leave),
+                web.post("/targets/{name}/drain", self._post_drain),
+                web.post("/targets/{name}/resume", self._post_resume),
             ]
         )
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
@@ -178,7 +185,32 @@
     async def _get_status(self, request: web.Request) -> web.Response:
         if not self._is_operator(request, "read"):
             return web.json_response({"error": "wrong operator token"}, status=401)
-        return web.json_response(self._handlers.status())
+        return web.json_response(attrs.asdict(self._handlers.status()))
+
+    async def _get_flow(self, request: web.Request) -> web.Response:
+        if not self._is_operator(request, "read"):
+            return web.json_response({"error": "wrong operator token"}, status=401)
+        try:
+            flow = bytes.fromhex(request.match_info["flow"])
+        except ValueError:
+            return web.json_response({"error": "flow is not hexadecimal"}, status=400)
+        if len(flow) not in (13, 37):
+            return web.json_response({"error": "flow has a wrong length"}, status=400)
+        return web.json_response(attrs.asdict(self._handlers.explain(flow)))
+
+    async def _post_drain(self, request: web.Request) -> web.Response:
+        return self._hold(request, True)
+
+    async def _post_resume(self, request: web.Request) -> web.Response:
+        return self._hold(request, False)
+
+    def _hold(self, request: web.Request, is_held: bool) -> web.Response:
+        if not self._is_operator(request, "drain"):
+            return web.json_response({"error": "wrong operator token"}, status=401)
+        name = request.match_info["name"]
+        if not self._handlers.hold(name, is_held):
+            return web.json_response({"error": f"no target {name!r}"}, status=404)
+        return web.json_response({"target": name, "is_held": is_held})
 
     async def _get_metrics(self, _: web.Request) -> web.Response:
         return web.Response(body=self._handlers.metrics(), content_type="text/plain")
--- a/zinniaspoke/control.py
+++ b/zinniaspoke/control.py
@@ -135,6 +135,8 @@
         self._answers.append(Answer(ticket=submission.ticket, reply=reply))
         if submission in self._submissions:
             self._submissions.remove(submission)
+        if outcome == control_pb2.SUBMIT_OUTCOME_NOT_LEADER:
+            return
         is_yes = outcome == control_pb2.SUBMIT_OUTCOME_YES
         event = events.RULE_FILE_ACCEPTED if is_yes else events.RULE_FILE_REJECTED
         self._note(event, f"rule file {submission.file.number}", reason)
--- a/zinniaspoke/daemons/control.py
+++ b/zinniaspoke/daemons/control.py
@@ -75,7 +75,16 @@
             self.core.tick(self._server.now())
             self._server.flush()
 
-    async def drain(self) -> None:
+    async def wait_ended(self) -> None:
+        """Waits until the replica cannot go on.
+
+        Raises:
+            errors.Error: What it met, such as a disk that takes no more bytes.
+        """
+        await asyncio.wait((self._task,))
+        self._task.result()
+
+    async def leave(self) -> None:
         """Gives leadership away before a planned stop."""
         if not self.core.replica.begin_transfer(self._server.now()):
             return
--- a/zinniaspoke/daemons/entry.py
+++ b/zinniaspoke/daemons/entry.py
@@ -16,6 +16,7 @@
     ports,
     secretfiles,
     settings,
+    status,
     targets,
 )
 from zinniaspoke.adapters import http, metrics, rpc, udp
@@ -136,6 +137,8 @@
             is_ready=self._is_ready,
             rules=lambda: (core.book.number, core.book.current.content),
             status=self._status,
+            explain=self._explain,
+            hold=self._hold,
             metrics=lambda: self._metrics.render(),
             begin_leave=self.begin_leave,
         )
@@ -144,40 +147,20 @@
         is_serving = self.core.members.own.state is membership.MemberState.SERVING
         return is_serving and self.core.book.number > 0
 
-    def _status(self) -> dict[str, object]:
-        core, now_s = self.core, self.now()
-        return {
-            "name": self.config.name,
-            "zone": self.config.zone,
-            "state": core.members.own.state.name.lower(),
-            "rule_number": core.book.number,
-            "flow_count": len(core.records),
-            "members": [
-                {
-                    "name": member.name,
-                    "zone": member.zone,
-                    "state": member.state.name.lower(),
-                    "rule_number": member.rule_number,
-                    "heard_ago_s": round(now_s - member.heard_s, 3),
-                }
-                for member in core.members.members.values()
-                if member is not core.members.own
-            ],
-            "targets": [self._target_status(s, now_s) for s in core.table.states.values()],
-        }
+    def _status(self) -> status.EntryStatus:
+        return status.describe(self.core, self.now())
 
-    def _target_status(self, state: targets.TargetState, now_s: float) -> dict[str, object]:
-        load = self.core.placing.load_of(state.target)
-        return {
-            "name": state.target.name,
-            "service": state.target.service,
-            "is_draining": state.is_draining,
-            "is_replaced": state.is_replaced,
-            "lease_left_s": round(state.lease_s - (now_s - state.renewed_s), 3),
-            "short_count": load.short_count,
-            "long_count": load.long_count,
-            "is_ejected": load.ejected_until_s > now_s,
-        }
+    def _explain(self, flow: bytes) -> status.FlowStatus:
+        return status.explain(self.core, flow, self.now())
+
+    def _hold(self, name: str, is_held: bool) -> bool:
+        states = self.core.table.states.values()
+        tag = next((s.target.tag for s in states if s.target.name == name), None)
+        if tag is None:
+            return False
+        at_ms = time.time_ns() // 1_000_000
+        self._perform(self.core.hold_target(tag, is_held, at_ms, self.now()))
+        return True
 
     def _perform(self, wanted: list[actions.Action]) -> None:
         for action in wanted:
@@ -240,8 +223,13 @@
         """Starts a planned leave."""
         self._perform(self.core.begin_leave(self.now()))
 
-    async def wait_left(self) -> None:
-        """Waits until a planned leave is complete."""
+    async def leave(self) -> None:
+        """Leaves as planned and returns when the process may stop."""
+        self.begin_leave()
+        await self.wait_ended()
+
+    async def wait_ended(self) -> None:
+        """Waits until a planned leave is complete, whoever started it."""
         await self._left.wait()
         self._log.write(events.LEAVE_FINISHED, "leave", self.config.name, "")
 
--- a/zinniaspoke/demo.py
+++ b/zinniaspoke/demo.py
@@ -346,8 +346,7 @@
 
     async def _stop_entry(self, name: str) -> None:
         daemon = self._entries[name]
-        daemon.begin_leave()
-        await daemon.wait_left()
+        await daemon.leave()
         self._say(f"         {name} has left")
         await self._kill(name)
 
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -285,6 +285,23 @@
         self.gossip.announce(state, now_s)
         return self.out.take()
 
+    def hold_target(
+        self, tag: int, is_held: bool, at_ms: int, now_s: float
+    ) -> list[actions.Action]:
+        """Drains a target on an operator's word, or takes that back.
+
+        Args:
+            tag: The target's tag.
+            is_held: Whether it gets no new work.
+            at_ms: When the operator said so, in milliseconds since 1970.
+            now_s: Current time.
+
+        Returns:
+            What to do.
+        """
+        self.gossip.hold(tag, is_held, at_ms, now_s)
+        return self.out.take()
+
     def install_rules(self, number: int, content: bytes) -> list[actions.Action]:
         """Puts a committed rule file in force.
 
--- a/zinniaspoke/gossip.py
+++ b/zinniaspoke/gossip.py
@@ -93,6 +93,28 @@
         if self._merge(state, now_s):
             self._spread([self._table.states[state.target.tag]], now_s)
 
+    def hold(self, tag: int, is_held: bool, at_ms: int, now_s: float) -> bool:
+        """Drains a target on an operator's word, or takes that back.
+
+        Args:
+            tag: The target's tag.
+            is_held: Whether it gets no new work.
+            at_ms: When the operator said so, in milliseconds since 1970.
+            now_s: Current time.
+
+        Returns:
+            Whether the target is known.
+        """
+        state = self._table.states.get(tag)
+        if state is None:
+            return False
+        state.is_held = is_held
+        state.held_at_ms = max(at_ms, state.held_at_ms + 1)
+        detail = "drained by operator" if is_held else "no longer drained by operator"
+        self._out.log(events.TARGET_CHANGED, state.target.name, detail)
+        self._spread([state], now_s)
+        return True
+
     def _merge(self, state: targets.TargetState, now_s: float) -> bool:
         is_new = state.target.tag not in self._table.states
         if not self._table.merge(state, now_s):
@@ -367,6 +389,8 @@
         lease_ms=int(state.lease_s * 1000),
         health_address=target.health_address,
         known_ms=int(max(0.0, now_s - state.first_seen_s) * 1000),
+        is_held=state.is_held,
+        held_at_ms=state.held_at_ms,
     )
 
 
@@ -388,4 +412,6 @@
         is_draining=record.is_draining,
         renewed_s=now_s - record.age_ms / 1000,
         lease_s=record.lease_ms / 1000,
+        is_held=record.is_held,
+        held_at_ms=record.held_at_ms,
     )
--- a/zinniaspoke/secretfiles.py
+++ b/zinniaspoke/secretfiles.py
@@ -1,6 +1,9 @@
 """Keys and tokens, read from files of one folder and never logged."""
 
+import os
 import pathlib
+import secrets
+from collections.abc import Sequence
 
 import attrs
 
@@ -13,7 +16,8 @@
 ANNOUNCE_PREFIX = "announce-"
 OPERATOR_PREFIX = "operator-"
 TOKEN_SUFFIX = ".token"
-ROLES = ("read", "submit", "drain")
+ROLES = ("read", "submit", "drain", "replica")
+TOKEN_BYTES = 24
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +64,60 @@
     )
 
 
+def load_operator_token(folder: str, role: str) -> str:
+    """Reads one operator token; an operator needs no other secret.
+
+    Args:
+        folder: Path of the folder.
+        role: One of ``ROLES``.
+
+    Returns:
+        The token.
+
+    Raises:
+        errors.SettingsError: It cannot be read.
+    """
+    path = pathlib.Path(folder) / f"{OPERATOR_PREFIX}{role}{TOKEN_SUFFIX}"
+    try:
+        return path.read_text(encoding="utf-8").strip()
+    except OSError as error:
+        raise _error(str(path), error.strerror or str(error)) from error
+
+
+def create(folder: str, services: Sequence[str]) -> list[str]:
+    """Writes fresh secrets for a new deployment; files that exist stay as they are.
+
+    Args:
+        folder: Path of the folder.
+        services: Services that get an announcement token.
+
+    Returns:
+        Names of the files that were written.
+
+    Raises:
+        errors.SettingsError: The folder cannot be written.
+    """
+    names = [DATAGRAM_KEY]
+    names += [f"{OPERATOR_PREFIX}{role}{TOKEN_SUFFIX}" for role in ROLES]
+    names += [f"{ANNOUNCE_PREFIX}{service}{TOKEN_SUFFIX}" for service in services]
+    try:
+        path = pathlib.Path(folder)
+        path.mkdir(parents=True, exist_ok=True, mode=0o700)
+        return [name for name in names if _create_file(path / name)]
+    except OSError as error:
+        raise _error(folder, error.strerror or str(error)) from error
+
+
+def _create_file(path: pathlib.Path) -> bool:
+    try:
+        handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+    except FileExistsError:
+        return False
+    with os.fdopen(handle, "w", encoding="utf-8") as file:
+        file.write(secrets.token_hex(TOKEN_BYTES) + "\n")
+    return True
+
+
 def _read_key(path: pathlib.Path) -> bytes:
     try:
         key = path.read_bytes().strip()
--- a/zinniaspoke/settings.py
+++ b/zinniaspoke/settings.py
@@ -141,6 +141,23 @@
         return next(replica for replica in self.replicas if replica.name == self.name)
 
 
+@attrs.frozen(kw_only=True)
+class OperatorSettings:
+    """Settings of the operator's commands.
+
+    Attributes:
+        entry_vms: HTTP endpoints of the entry VMs.
+        control_replicas: gRPC endpoints of the control replicas.
+        secrets_folder: Folder with the operator's token files.
+        tls: TLS towards the control replicas, or null.
+    """
+
+    entry_vms: tuple[Endpoint, ...]
+    control_replicas: tuple[Endpoint, ...]
+    secrets_folder: str
+    tls: Tls | None = None
+
+
 def _converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True)
 
@@ -267,3 +284,22 @@
     if found.name not in names:
         raise _error("$.name", f"{found.name!r} is none of the replicas")
     return found
+
+
+def load_operator(path: str) -> OperatorSettings:
+    """Reads and checks the settings of the operator's commands.
+
+    Args:
+        path: The JSON file.
+
+    Returns:
+        The settings.
+
+    Raises:
+        errors.SettingsError: As ``load_entry``.
+    """
+    found = _structure(path, OperatorSettings)
+    for name in ("entry_vms", "control_replicas"):
+        for index, endpoint in enumerate(getattr(found, name)):
+            _check_endpoint(f"$.{name}[{index}]", endpoint.host, endpoint.port)
+    return found
--- a/zinniaspoke/targets.py
+++ b/zinniaspoke/targets.py
@@ -76,6 +76,8 @@
         is_replaced: Whether a newer incarnation stands at its address.
         first_seen_s: When this VM first heard of it.
         answered_s: When a packet from it last passed this VM.
+        is_held: Whether an operator drains it, whatever it announces.
+        held_at_ms: When the operator last set this, in milliseconds since 1970.
     """
 
     target: Target
@@ -86,6 +88,8 @@
     is_replaced: bool = False
     first_seen_s: float = 0.0
     answered_s: float = -1e9
+    is_held: bool = False
+    held_at_ms: int = 0
 
     def takes_new_work(self, now_s: float) -> bool:
         """Tells whether new flows may be placed here.
@@ -126,13 +130,22 @@
             self._add(incoming, now_s)
             return True
         known.renewed_s = max(known.renewed_s, incoming.renewed_s)
+        is_news = self._take_hold(known, incoming)
         if incoming.version <= known.version:
-            return False
+            return is_news
         known.version = incoming.version
         known.is_draining = incoming.is_draining
         known.lease_s = incoming.lease_s
         return True
 
+    @staticmethod
+    def _take_hold(known: TargetState, incoming: TargetState) -> bool:
+        if incoming.held_at_ms <= known.held_at_ms:
+            return False
+        known.held_at_ms = incoming.held_at_ms
+        known.is_held = incoming.is_held
+        return True
+
     def _add(self, state: TargetState, now_s: float) -> None:
         target = state.target
         state.first_seen_s = now_s
