Copy flows that fewer than two other VMs remember; guard flows whose home died

Cause: a flow whose home, placer and relay were among two lost VMs was broken, and one whose home died and whose placer died next, while it was idle. Change: copies in two classes within the same budget: urgent where nobody else is known to remember, spare where one does; a placer copies flows of a lost home.

--- a/benchmarks/designs.py
+++ b/benchmarks/designs.py
@@ -70,6 +70,7 @@
             target=flow.target,
             sequence=flow.caller_acknowledgment,
             is_long=flow.is_long,
+            is_urgent=True,
         )
         for member_id in core.members.reachable_ids:
             core.copying._transmit(member_id, [copy], flow.opened_s)
--- a/zinniaspoke/copies.py
+++ b/zinniaspoke/copies.py
@@ -1,11 +1,14 @@
 """Copies of flows that no live witness knows, paced within the control budget."""
 
+import itertools
+
 import attrs
 
 from zinniaspoke import counters, flows, hashing, membership, outbox, targets
 from zinniaspoke.proto import peer_pb2
 
 COPY_AGE_S = 1.0
+REMEMBERED_COUNT = 2
 BUDGET_BYTES_PER_S = 4000.0
 BURST_BYTES = 4000.0
 BATCH_COUNT = 30
@@ -21,12 +24,16 @@
         target: Its target.
         sequence: Sequence number that the target will use next; 0 for UDP.
         is_long: Whether its work counts as long.
+        is_urgent: Whether no other VM is known to remember the flow.
+        presences: Presences of VMs that remember it already.
     """
 
     flow: bytes
     target: targets.Target
     sequence: int
     is_long: bool
+    is_urgent: bool
+    presences: tuple[int, ...] = ()
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -63,13 +70,17 @@
         self._counts = counts
         self._tokens_bytes = BURST_BYTES
         self._filled_s = now_s
-        self._pending: dict[bytes, Copy] = {}
+        self._urgent: dict[bytes, Copy] = {}
+        self._spare: dict[bytes, Copy] = {}
         self._batches: dict[int, _Batch] = {}
         self._sent: set[bytes] = set()
         self._batch_id = 0
 
-    def __len__(self) -> int:
-        return len(self._pending) + sum(len(b.copies) for b in self._batches.values())
+    @property
+    def urgent_count(self) -> int:
+        """Urgent copies that are queued or not acknowledged."""
+        sent = (copy for batch in self._batches.values() for copy in batch.copies)
+        return len(self._urgent) + sum(copy.is_urgent for copy in sent)
 
     def offer(self, copy: Copy) -> None:
         """Queues a copy, unless it is queued or on its way.
@@ -77,8 +88,13 @@
         Args:
             copy: The flow to copy.
         """
-        if copy.flow not in self._sent:
-            self._pending[copy.flow] = copy
+        if copy.flow in self._sent:
+            return
+        if copy.is_urgent:
+            self._spare.pop(copy.flow, None)
+            self._urgent[copy.flow] = copy
+        elif copy.flow not in self._urgent:
+            self._spare[copy.flow] = copy
 
     def withdraw(self, flow: bytes) -> None:
         """Drops a queued copy because another VM has adopted the flow.
@@ -86,7 +102,8 @@
         Args:
             flow: The flow's key.
         """
-        self._pending.pop(flow, None)
+        self._urgent.pop(flow, None)
+        self._spare.pop(flow, None)
 
     def tick(self, now_s: float) -> None:
         """Sends what the budget allows.
@@ -96,9 +113,10 @@
         """
         self._refill(now_s)
         self._resend(now_s)
-        while self._pending and self._tokens_bytes > 0:
-            if not self._send_batch(now_s):
-                return
+        for pending in (self._urgent, self._spare):
+            while pending and self._tokens_bytes > 0:
+                if not self._send_batch(pending, now_s):
+                    break
 
     def _refill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._filled_s)
@@ -112,13 +130,16 @@
             batch = self._batches.pop(batch_id)
             for copy in batch.copies:
                 self._sent.discard(copy.flow)
-                self._pending[copy.flow] = copy
+                (self._urgent if copy.is_urgent else self._spare)[copy.flow] = copy
 
-    def _send_batch(self, now_s: float) -> bool:
+    def _send_batch(self, pending: dict[bytes, Copy], now_s: float) -> bool:
+        """Sends one batch to the holder of most of the oldest copies."""
         by_holder: dict[int, list[Copy]] = {}
-        for copy in list(self._pending.values())[: 4 * BATCH_COUNT]:
-            holder_id = self._holder_id(copy.flow)
-            if holder_id is not None:
+        for copy in list(itertools.islice(pending.values(), 4 * BATCH_COUNT)):
+            holder_id = self._holder_id(copy)
+            if holder_id is None:
+                del pending[copy.flow]
+            else:
                 by_holder.setdefault(holder_id, []).append(copy)
         if not by_holder:
             return False
@@ -126,16 +147,15 @@
         self._transmit(holder_id, copies[:BATCH_COUNT], now_s)
         return True
 
-    def _holder_id(self, flow: bytes) -> int | None:
-        """Returns the member that becomes home if this VM goes."""
-        own_id = self._members.own.id
-        order = [i for i in self._members.serving_ids if i != own_id]
-        if not order:
-            return None
-        home_id = self._members.home_id(flow)
-        if home_id != own_id:
-            return home_id
-        return hashing.SlotTable.order(flow, order)[0]
+    def _holder_id(self, copy: Copy) -> int | None:
+        """Returns the first in the order of homes that does not remember the flow yet."""
+        members = self._members
+        order = hashing.SlotTable.order(copy.flow, members.serving_ids)
+        for member_id in order:
+            is_own = member_id == members.own.id
+            if not is_own and members.presence_of(member_id) not in copy.presences:
+                return member_id
+        return None
 
     def _transmit(self, holder_id: int, copies: list[Copy], now_s: float) -> None:
         self._batch_id = (self._batch_id + 1) & 0xFFFFFFFF
@@ -155,7 +175,7 @@
         self._batches[self._batch_id] = _Batch(holder_id=holder_id, copies=copies, sent_s=now_s)
         self._counts.events["copies_sent"] += len(copies)
         for copy in copies:
-            self._pending.pop(copy.flow, None)
+            self.withdraw(copy.flow)
             self._sent.add(copy.flow)
 
     def acknowledge(self, sender_id: int, batch_id: int) -> None:
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -101,20 +101,22 @@
             counts=self.counts,
         )
         checks = invariants.Invariants(out=self.out, is_strict=config.is_strict)
-        self.placing = placer.Placer(
-            table=self.table,
-            policy=placement.create(config.policy, rng),
+        self.copying = copies.CopySender(
+            members=self.members,
+            records=self.records,
             out=self.out,
-            checks=checks,
             counts=self.counts,
-            rng=rng,
             now_s=now_s,
         )
-        self.copying = copies.CopySender(
+        self.placing = placer.Placer(
             members=self.members,
-            records=self.records,
+            table=self.table,
+            copying=self.copying,
+            policy=placement.create(config.policy, rng),
             out=self.out,
+            checks=checks,
             counts=self.counts,
+            rng=rng,
             now_s=now_s,
         )
         self.gossip = gossip.Gossip(
@@ -417,7 +419,7 @@
             return True
         others = [self.members.members[i] for i in self.members.reachable_ids]
         seen = all(member.acknowledges_leave for member in others)
-        copied = self._sweeper.is_complete and len(self.copying) == 0
+        copied = self._sweeper.is_complete and self.copying.urgent_count == 0
         is_quiet = now_s - self._packet_s > LEAVE_QUIET_S
         return seen and copied and is_quiet and self.placing.waiting_count == 0
 
@@ -466,8 +468,7 @@
             if silent_s > flows.CLOSED_LINGER_S:
                 core.records.discard(record.key)
             return
-        if self._needs_copy(record, now_s):
-            self._offer_copy(record)
+        self._guard(record, now_s)
         if core.members.home_id(record.key) != core.members.own.id:
             self._demote(record, now_s)
             return
@@ -479,16 +480,6 @@
         if not record.is_running(now_s):
             self._count_idle(record)
 
-    def _offer_copy(self, record: flows.Flow) -> None:
-        self._core.copying.offer(
-            copies.Copy(
-                flow=record.key,
-                target=record.target,
-                sequence=record.caller_acknowledgment,
-                is_long=record.is_long,
-            )
-        )
-
     def _demote(self, record: flows.Flow, now_s: float) -> None:
         """Keeps a witness of a flow whose home has moved; the new home finds it here."""
         core = self._core
@@ -509,11 +500,24 @@
         else:
             count.short_count += 1
 
-    def _needs_copy(self, record: flows.Flow, now_s: float) -> bool:
+    def _guard(self, record: flows.Flow, now_s: float) -> None:
+        """Offers a copy of a record that too few other VMs remember."""
         core = self._core
-        if core.members.remembers_any(record.witness_presences):
-            return False
+        remembering = core.members.remembering(record.witness_presences)
+        if len(remembering) >= copies.REMEMBERED_COUNT or record.has_ended:
+            return
         if now_s - record.opened_s < copies.COPY_AGE_S and not core.is_leaving:
-            return False
+            return
         base = core.table.base_target(record.key, record.target.service, now_s)
-        return not base or base.tag != record.target.tag
+        if base and base.tag == record.target.tag:
+            return
+        core.copying.offer(
+            copies.Copy(
+                flow=record.key,
+                target=record.target,
+                sequence=record.caller_acknowledgment,
+                is_long=record.is_long,
+                is_urgent=not remembering,
+                presences=tuple(remembering),
+            )
+        )
--- a/zinniaspoke/membership.py
+++ b/zinniaspoke/membership.py
@@ -261,13 +261,13 @@
         member = self.members.get(member_id)
         return member.presence if member is not None else 0
 
-    def remembers_any(self, presences: tuple[int, ...]) -> bool:
-        """Tells whether another VM that learnt something is still there to remember it.
+    def remembering(self, presences: tuple[int, ...]) -> frozenset[int]:
+        """Returns which other VMs that learnt something are still there to remember it.
 
         Args:
             presences: Presences of the VMs that learnt it.
 
         Returns:
-            True where one of them is another VM, reachable and not leaving.
+            Those of other VMs, reachable and not leaving.
         """
-        return any(presence in self._present for presence in presences)
+        return self._present.intersection(presences)
--- a/zinniaspoke/placer.py
+++ b/zinniaspoke/placer.py
@@ -5,6 +5,7 @@
 import attrs
 
 from zinniaspoke import (
+    copies,
     counters,
     ejection,
     errors,
@@ -12,6 +13,7 @@
     holding,
     invariants,
     loads,
+    membership,
     outbox,
     packets,
     placement,
@@ -66,7 +68,9 @@
     def __init__(
         self,
         *,
+        members: membership.Membership,
         table: targets.TargetTable,
+        copying: copies.CopySender,
         policy: placement.Policy,
         out: outbox.Outbox,
         checks: invariants.Invariants,
@@ -77,7 +81,9 @@
         """Connects the placer.
 
         Args:
+            members: The view of the group.
             table: The targets.
+            copying: Sends copies of flows whose home is gone.
             policy: Chooses among them.
             out: Where packets go.
             checks: Promises to check.
@@ -85,7 +91,9 @@
             rng: Seeded random source.
             now_s: Current time.
         """
+        self._members = members
         self._table = table
+        self._copying = copying
         self._policy = policy
         self._out = out
         self._checks = checks
@@ -95,6 +103,7 @@
         self._queues: dict[str, holding.HoldQueue] = {}
         self._placements: dict[bytes, Placement] = {}
         self._sweep: list[bytes] = []
+        self._guarded_ids: set[int] = set()
         self._reconciled_s = now_s
         self.loads: dict[int, loads.TargetLoad] = {}
 
@@ -435,13 +444,31 @@
     def _sweep_slice(self, now_s: float) -> None:
         if not self._sweep:
             self._sweep = list(self._placements)
+            self._sweep.reverse()
+            self._guarded_ids = {*self._members.reachable_ids, self._members.own.id}
         for flow in self._sweep[-SWEEP_SLICE_COUNT:]:
             placed = self._placements.get(flow)
             if placed is not None:
                 self._age(placed, now_s)
         del self._sweep[-SWEEP_SLICE_COUNT:]
 
+    def _guard(self, placed: Placement) -> None:
+        """Offers a copy of a flow whose home is gone; this VM may be all that knows it."""
+        if not placed.is_answered or placed.home_id in self._guarded_ids:
+            return
+        self._copying.offer(
+            copies.Copy(
+                flow=placed.flow,
+                target=placed.target,
+                sequence=placed.sequence,
+                is_long=placed.is_long,
+                is_urgent=True,
+            )
+        )
+        placed.home_id = self._members.home_id(placed.flow)
+
     def _age(self, placed: Placement, now_s: float) -> None:
+        self._guard(placed)
         age_s = now_s - placed.opened_s
         if placed.is_answered and not placed.is_long and age_s > LONG_AFTER_S:
             load = self.load_of(placed.target)
