Work retained target views out from when targets came; copy after half a second

Cause: a VM that joined late kept a view for each part of the table it was sent, so its views disagreed and it dropped flows on their base target; and flows younger than a second had no copy when two VMs were lost together. Ruled out: copies lost on the way (none had been due: the flow was on its base). Change: views follow from the times at which targets came and were replaced, which all VMs know alike; the copy age is 0.5 s; an operator's drain, which a reformatted line had left out of takes_new_work, counts again and has a test.

--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,82 @@
+"""Targets: leases, incarnations, operator drains, base targets over retained views."""
+
+from zinniaspoke import targets
+
+
+def state(number, incarnation=1, version=1, renewed_s=0.0, service="ledger", **fields):
+    target = targets.Target(
+        address=bytes((10, 0, 0, number)),
+        port=80,
+        service=service,
+        incarnation=incarnation,
+        geneve_port=6081,
+    )
+    fields = {"is_draining": False, **fields}
+    return targets.TargetState(target=target, version=version, renewed_s=renewed_s, **fields)
+
+
+def test_lease_lapses_and_a_drain_ends_new_work():
+    table = targets.TargetTable()
+    table.merge(state(1), 0.0)
+    held = table.of_service("ledger")[0]
+    assert held.takes_new_work(2.9)
+    assert not held.takes_new_work(3.0)
+    assert table.merge(state(1, version=2, renewed_s=3.0, is_draining=True), 3.0)
+    assert not held.takes_new_work(3.0)
+    assert not table.merge(state(1, version=1, renewed_s=4.0), 4.0)
+    assert held.is_draining
+
+
+def test_operator_drain_outlives_announcements_and_the_newest_word_counts():
+    table = targets.TargetTable()
+    table.merge(state(1), 0.0)
+    assert table.merge(state(1, is_held=True, held_at_ms=10), 0.0)
+    assert not table.merge(state(1, is_held=False, held_at_ms=9), 0.0)
+    table.merge(state(1, version=2, renewed_s=1.0), 1.0)
+    assert not table.of_service("ledger")[0].takes_new_work(1.0)
+    assert table.merge(state(1, is_held=False, held_at_ms=11), 1.0)
+    assert table.of_service("ledger")[0].takes_new_work(1.0)
+
+
+def test_newer_incarnation_replaces_in_whatever_order_they_are_heard():
+    for order in ((1, 2), (2, 1)):
+        table = targets.TargetTable()
+        for incarnation in order:
+            table.merge(state(1, incarnation=incarnation, service=f"s{incarnation}"), 0.0)
+        old, new = (table.of_service(f"s{incarnation}")[0] for incarnation in (1, 2))
+        assert old.is_replaced
+        assert not new.is_replaced
+        assert table.at_address(bytes((10, 0, 0, 1)), "s2") == new.target
+
+
+def test_base_target_is_told_only_where_all_retained_views_agree():
+    table = targets.TargetTable()
+    for number in range(1, 8):
+        table.merge(state(number), 0.0)
+    flows = [number.to_bytes(4, "big") for number in range(200)]
+    before = [table.base_target(flow, "ledger", 10.0) for flow in flows]
+    assert all(before)
+    table.merge(state(8), 10.0)
+    after = [table.base_target(flow, "ledger", 11.0) for flow in flows]
+    moved = [new for new in after if not new]
+    assert {found.reason for found in moved} == {"views_disagree"}
+    assert 5 < len(moved) < 60
+    assert all(new == old for new, old in zip(after, before, strict=True) if new)
+    later_s = 11.0 + targets.VIEW_RETENTION_S
+    assert all(table.base_target(flow, "ledger", later_s) for flow in flows)
+
+
+def test_vm_that_joins_late_works_out_the_same_views():
+    early, late = targets.TargetTable(), targets.TargetTable()
+    for number in range(1, 8):
+        early.merge(state(number), 0.1 * number)
+    early.merge(state(8), 30.0)
+    early.merge(state(3, incarnation=2), 60.0)
+    for known in early.states.values():
+        number = known.target.address[3]
+        seen_s = known.first_seen_s
+        late.merge(state(number, known.target.incarnation, first_seen_s=seen_s), 90.0)
+    for number in range(200):
+        flow = number.to_bytes(4, "big")
+        first, second = (t.base_target(flow, "ledger", 90.0) for t in (early, late))
+        assert first == second
--- a/zinniaspoke/copies.py
+++ b/zinniaspoke/copies.py
@@ -7,7 +7,7 @@
 from zinniaspoke import counters, flows, hashing, membership, outbox, targets
 from zinniaspoke.proto import peer_pb2
 
-COPY_AGE_S = 1.0
+COPY_AGE_S = 0.5
 REMEMBERED_COUNT = 2
 BUDGET_BYTES_PER_S = 4000.0
 BURST_BYTES = 4000.0
--- a/zinniaspoke/gossip.py
+++ b/zinniaspoke/gossip.py
@@ -325,11 +325,7 @@
     @_handles("target_table")
     def _on_target_table(self, sender_id: int, body: peer_pb2.TargetTable, now_s: float) -> None:
         for record in body.targets:
-            state = _target_state(record, now_s)
-            if self._merge(state, now_s):
-                merged = self._table.states[state.target.tag]
-                known_s = now_s - record.known_ms / 1000
-                merged.first_seen_s = min(merged.first_seen_s, known_s)
+            self._merge(_target_state(record, now_s), now_s)
 
     @_handles("target_request")
     def _on_target_request(
@@ -412,6 +408,7 @@
         is_draining=record.is_draining,
         renewed_s=now_s - record.age_ms / 1000,
         lease_s=record.lease_ms / 1000,
+        first_seen_s=now_s - record.known_ms / 1000,
         is_held=record.is_held,
         held_at_ms=record.held_at_ms,
     )
--- a/zinniaspoke/targets.py
+++ b/zinniaspoke/targets.py
@@ -1,7 +1,6 @@
 """Targets: what announced itself, its lease, and the views kept for base targets."""
 
 import ipaddress
-from collections import deque
 from collections.abc import Iterable
 
 import attrs
@@ -10,7 +9,9 @@
 
 LEASE_GRACE_S = 3.0
 VIEW_RETENTION_S = 900.0
+VIEW_SETTLE_S = 2.0
 VIEW_LIMIT = 8
+NEVER_S = float("inf")
 
 
 @attrs.frozen(kw_only=True)
@@ -73,8 +74,8 @@
         is_draining: Whether it takes no new work.
         renewed_s: When its lease was last renewed, on this VM's clock.
         lease_s: How long a renewal holds.
-        is_replaced: Whether a newer incarnation stands at its address.
-        first_seen_s: When this VM first heard of it.
+        first_seen_s: When the group first heard of it, on this VM's clock.
+        replaced_s: When a newer incarnation came.
         answered_s: When a packet from it last passed this VM.
         is_held: Whether an operator drains it, whatever it announces.
         held_at_ms: When the operator last set this, in milliseconds since 1970.
@@ -85,12 +86,17 @@
     is_draining: bool
     renewed_s: float
     lease_s: float = LEASE_GRACE_S
-    is_replaced: bool = False
-    first_seen_s: float = 0.0
+    first_seen_s: float = NEVER_S
+    replaced_s: float = NEVER_S
     answered_s: float = -1e9
     is_held: bool = False
     held_at_ms: int = 0
 
+    @property
+    def is_replaced(self) -> bool:
+        """Whether a newer incarnation stands at its address."""
+        return self.replaced_s < NEVER_S
+
     def takes_new_work(self, now_s: float) -> bool:
         """Tells whether new flows may be placed here.
 
@@ -100,7 +106,21 @@
         Returns:
             True while it is ready, its lease holds, and no newer process has its address.
         """
-        return not (self.is_draining or self.is_replaced or now_s - self.renewed_s >= self.lease_s)
+        is_leaving = self.is_draining or self.is_held or self.is_replaced
+        return not is_leaving and now_s - self.renewed_s < self.lease_s
+
+
+@attrs.frozen(kw_only=True)
+class View:
+    """The targets of a service over some time.
+
+    Attributes:
+        tags: The targets' tags.
+        ends_s: When the next view began.
+    """
+
+    tags: tuple[int, ...]
+    ends_s: float
 
 
 class TargetTable:
@@ -113,7 +133,7 @@
         self.states: dict[int, TargetState] = {}
         self._by_service: dict[str, list[TargetState]] = {}
         self._by_address: dict[bytes, list[TargetState]] = {}
-        self._views: dict[str, deque[tuple[float, tuple[int, ...]]]] = {}
+        self._views: dict[str, list[View]] = {}
 
     def merge(self, incoming: TargetState, now_s: float) -> bool:
         """Takes in an announcement, from the target itself or from a sibling.
@@ -148,21 +168,24 @@
 
     def _add(self, state: TargetState, now_s: float) -> None:
         target = state.target
-        state.first_seen_s = now_s
+        state.first_seen_s = min(state.first_seen_s, now_s)
         for other in self._by_address.get(target.address, []):
             if other.target.port != target.port:
                 continue
-            newer = other.target.incarnation > target.incarnation
-            (state if newer else other).is_replaced = True
+            is_older = other.target.incarnation <= target.incarnation
+            old, new = (other, state) if is_older else (state, other)
+            old.replaced_s = min(old.replaced_s, max(new.first_seen_s, old.first_seen_s))
         self.states[target.tag] = state
         self._by_service.setdefault(target.service, []).append(state)
         self._by_address.setdefault(target.address, []).append(state)
-        self._retain_view(target.service, now_s)
+        self._rebuild_views()
 
-    def _retain_view(self, service: str, now_s: float) -> None:
-        tags = tuple(sorted(s.target.tag for s in self._by_service[service] if not s.is_replaced))
-        views = self._views.setdefault(service, deque(maxlen=VIEW_LIMIT))
-        views.append((now_s, tags))
+    def _rebuild_views(self) -> None:
+        """Works the views out from when targets came and were replaced.
+
+        All VMs know these times alike, a VM that joined late included.
+        """
+        self._views = {service: _views(states) for service, states in self._by_service.items()}
 
     def forget_expired(self, now_s: float) -> list[Target]:
         """Drops targets whose lease lapsed long ago.
@@ -178,7 +201,8 @@
             del self.states[state.target.tag]
             self._by_service[state.target.service].remove(state)
             self._by_address[state.target.address].remove(state)
-            self._retain_view(state.target.service, now_s)
+        if gone:
+            self._rebuild_views()
         return [state.target for state in gone]
 
     def is_replaced(self, target: Target) -> bool:
@@ -226,9 +250,8 @@
         views = self._views.get(service)
         if not views:
             return errors.Nothing(reason="no_target")
-        current = views[-1]
-        kept = [v for v in views if v is current or now_s - v[0] <= VIEW_RETENTION_S]
-        choices = {hashing.first(flow, tags) for _, tags in kept if tags}
+        kept = [view for view in views if now_s - view.ends_s <= VIEW_RETENTION_S]
+        choices = {hashing.first(flow, view.tags) for view in kept}
         if len(choices) != 1:
             return errors.Nothing(reason="views_disagree")
         state = self.states.get(choices.pop())
@@ -249,3 +272,27 @@
     """
     by_tag = {target.tag: target for target in candidates}
     return by_tag[hashing.first(flow, list(by_tag))]
+
+
+def _views(states: Iterable[TargetState]) -> list[View]:
+    """Lists a service's views; changes that come close together make one view."""
+    changes = sorted(
+        {state.first_seen_s for state in states}
+        | {state.replaced_s for state in states if state.is_replaced}
+    )
+    starts: list[float] = []
+    for change_s in changes:
+        if starts and change_s - starts[-1] <= VIEW_SETTLE_S:
+            starts[-1] = change_s
+        else:
+            starts.append(change_s)
+    starts = starts[-VIEW_LIMIT:]
+    ends = [*starts[1:], NEVER_S]
+    found = []
+    for start_s, end_s in zip(starts, ends, strict=True):
+        tags = sorted(
+            state.target.tag for state in states if state.first_seen_s <= start_s < state.replaced_s
+        )
+        if tags:
+            found.append(View(tags=tuple(tags), ends_s=end_s))
+    return found
