--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -108,11 +108,13 @@
             counts=self.counts,
             now_s=now_s,
         )
+        policy = placement.create(config.policy, rng)
+        self.members.places_locally = policy.is_local
         self.placing = placer.Placer(
             members=self.members,
             table=self.table,
             copying=self.copying,
-            policy=placement.create(config.policy, rng),
+            policy=policy,
             out=self.out,
             checks=checks,
             counts=self.counts,
--- a/zinniaspoke/gossip.py
+++ b/zinniaspoke/gossip.py
@@ -198,7 +198,10 @@
             if state is None:
                 continue
             service_key = state.target.service.encode()
-            if member_id in self._members.placer_order(service_key)[:2]:
+            if self._members.places_locally:
+                if member_id != self._members.own.id:
+                    found.append(self._load(tag, count))
+            elif member_id in self._members.placer_order(service_key)[:2]:
                 found.append(self._load(tag, count))
         return found
 
--- a/zinniaspoke/loads.py
+++ b/zinniaspoke/loads.py
@@ -98,6 +98,11 @@
         """Flows placed and not ended."""
         return self.short_count + self.long_count
 
+    @property
+    def shared_open_count(self) -> int:
+        """Own open flows and those that other homes reported, where each home places."""
+        return self.open_count + sum(r.short_count + r.long_count for r in self.reports.values())
+
     @property
     def idle_short_count(self) -> int:
         """Open flows of short work without work under way, by the homes' reports."""
--- a/zinniaspoke/membership.py
+++ b/zinniaspoke/membership.py
@@ -90,6 +90,7 @@
         self.own = own
         self.members: dict[int, Member] = {own.id: own}
         self.version = 0
+        self.places_locally = False
         self._started_s = now_s
         self._serving: tuple[int, ...] = ()
         self._reachable: tuple[int, ...] = ()
@@ -207,11 +208,13 @@
         return self._slots.lookup(flow)
 
     def placer_id(self, service_key: bytes) -> int:
-        """Returns the placer of a service address.
+        """Returns the placer of a service.
 
         Args:
-            service_key: The service's key, see ``rules.service_key``.
+            service_key: The service's name as bytes.
         """
+        if self.places_locally:
+            return self.own.id
         found = self._placers.get(service_key)
         if found is None:
             found = self._placers[service_key] = hashing.first(service_key, self._serving)
@@ -221,7 +224,7 @@
         """Returns the serving members in the order in which they take over placing.
 
         Args:
-            service_key: The service's key.
+            service_key: The service's name as bytes.
         """
         return hashing.order(service_key, self._serving)
 
@@ -232,7 +235,7 @@
 
         Args:
             flow: The flow's key.
-            service_key: The key of its service address.
+            service_key: Its service's name as bytes.
             asked_ids: Members that need not be asked.
 
         Returns:
--- a/zinniaspoke/placement.py
+++ b/zinniaspoke/placement.py
@@ -48,7 +48,13 @@
 
 
 class Policy(abc.ABC):
-    """Chooses a target for a new flow."""
+    """Chooses a target for a new flow.
+
+    Attributes:
+        is_local: Whether each home places its own flows, rather than one placer a service.
+    """
+
+    is_local = False
 
     def __init__(self, *, rng: random.Random) -> None:
         """Sets the source of randomness.
@@ -121,6 +127,8 @@
 class RandomPolicy(Policy):
     """Takes any target with equal chance."""
 
+    is_local = True
+
     def choose(self, request: Request, candidates: Sequence[Candidate]) -> targets.Target:
         """See ``Policy.choose``."""
         return self._rng.choice(candidates).state.target
@@ -130,6 +138,8 @@
 class BasePolicy(Policy):
     """Takes the first target in rendezvous order."""
 
+    is_local = True
+
     def choose(self, request: Request, candidates: Sequence[Candidate]) -> targets.Target:
         """See ``Policy.choose``."""
         return targets.base_of(request.flow, [c.state.target for c in candidates])
@@ -162,6 +172,17 @@
         return _base_first(request, candidates, lambda c: c.load.open_count)
 
 
+@register("shared_least_open")
+class SharedLeastOpenPolicy(Policy):
+    """Takes the target with the fewest open flows by own and other homes' reported counts."""
+
+    is_local = True
+
+    def choose(self, request: Request, candidates: Sequence[Candidate]) -> targets.Target:
+        """See ``Policy.choose``."""
+        return _base_first(request, candidates, lambda c: c.load.shared_open_count)
+
+
 @register("two_choices")
 class TwoChoicesPolicy(Policy):
     """Samples two targets: the faster cold one, else the less loaded hot one.
--- a/zinniaspoke/placer.py
+++ b/zinniaspoke/placer.py
@@ -435,7 +435,7 @@
             for waiting in queue.expire(now_s):
                 self._refuse(waiting, "wait")
             self._pump(service, now_s)
-        if now_s - self._reconciled_s >= RECONCILE_S:
+        if not self._policy.is_local and now_s - self._reconciled_s >= RECONCILE_S:
             self._reconciled_s = now_s
             for load in self.loads.values():
                 load.reconcile(live_ids)
--- a/zinniaspoke/standins/caller.py
+++ b/zinniaspoke/standins/caller.py
@@ -91,7 +91,9 @@
             first_sequence=self._rng.randrange(1 << 28),
             transmit=self._transmit,
         )
-        outcome = traffic.Outcome(service=rule.service, kind=kind, opened_s=self._now())
+        outcome = traffic.Outcome(
+            service=rule.service, kind=kind, opened_s=self._now(), work_s=work_s * request_count
+        )
         requests = [
             target.Request(
                 service=rule.service,
@@ -138,6 +140,7 @@
             call.resumes_s = now_s + call.pause_s
             if not call.requests:
                 outcome.is_complete = True
+                outcome.completed_s = now_s
                 connection.finish(now_s)
         if outcome.answered_s is not None and not call.is_waiting and call.requests:
             self._request(call, now_s)
--- a/zinniaspoke/standins/traffic.py
+++ b/zinniaspoke/standins/traffic.py
@@ -12,7 +12,9 @@
         kind: ``"short"``, ``"long"`` or ``"idle"``.
         opened_s: When the caller sent its SYN.
         answered_s: When the handshake completed, or None.
+        completed_s: When the whole answer had come, or None.
         ended_s: When it ended, or None.
+        work_s: Seconds of work asked for.
         is_complete: Whether the whole answer came.
         is_refused: Whether it was reset before the handshake completed.
         broken_during: The step of the demo in which it broke, or empty.
@@ -22,7 +24,9 @@
     kind: str
     opened_s: float
     answered_s: float | None = None
+    completed_s: float | None = None
     ended_s: float | None = None
+    work_s: float = 0.0
     is_complete: bool = False
     is_refused: bool = False
     broken_during: str = ""
