--- a/zinniaspoke/daemons/control.py
+++ b/zinniaspoke/daemons/control.py
@@ -3,7 +3,17 @@
 import asyncio
 import random
 
-from zinniaspoke import consensus, control, events, log, ports, secretfiles, settings, storage
+from zinniaspoke import (
+    consensus,
+    control,
+    errors,
+    events,
+    log,
+    ports,
+    secretfiles,
+    settings,
+    storage,
+)
 from zinniaspoke.adapters import rpc
 
 TICK_S = 0.02
@@ -81,8 +91,11 @@
         Raises:
             errors.Error: What it met, such as a disk that takes no more bytes.
         """
-        await asyncio.wait((self._task,))
-        self._task.result()
+        try:
+            await self._task
+        except errors.Error as error:
+            self._output.write(events.PROCESS_FAILED, error.step, error.peer, error.reason)
+            raise
 
     async def leave(self) -> None:
         """Gives leadership away before a planned stop."""
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -42,7 +42,9 @@
 RULES_UNREACHABLE = _define(303, "rules_unreachable", "No control replica answered a poll.")
 DATAGRAM_REFUSED = _define(401, "datagram_refused", "A control datagram was dropped.")
 FLOW_RESET = _define(402, "flow_reset", "A flow was reset at both ends; its outcome is unknown.")
-FLOW_REFUSED = _define(403, "flow_refused", "An opening was refused; nothing of it was run.")
+FLOW_REFUSED = _define(
+    403, "flow_refused", "Openings are refused, nothing of them was run; told once a second."
+)
 INVARIANT_BROKEN = _define(901, "invariant_broken", "A promise of the program did not hold.")
 REPLICA_ROLE = _define(501, "replica_role", "A control replica became leader or follower.")
 REPLICA_RECOVERED = _define(502, "replica_recovered", "A control replica read back its state.")
--- a/zinniaspoke/placer.py
+++ b/zinniaspoke/placer.py
@@ -26,6 +26,7 @@
 LONG_AFTER_S = 0.5
 ROUND_TRIP_GAIN = 0.05
 SPARE_FACTOR = 3.0
+REFUSAL_LOG_S = 1.0
 PLACEMENT_AGE_S = 900.0
 RECONCILE_S = 1.0
 SWEEP_SLICE_COUNT = 500
@@ -109,6 +110,7 @@
         self._guarded_ids: set[int] = set()
         self._reconciled_s = now_s
         self._caller_round_trip_s = 0.0
+        self._refusal_logged_s = -1e9
         self.loads: dict[int, loads.TargetLoad] = {}
 
     def __len__(self) -> int:
@@ -172,7 +174,7 @@
         service = waiting.rule.service
         slot_count = sum(s.target.slot_count for s in self._table.of_service(service))
         if not queue.accepts(waiting.rule, slot_count):
-            self._refuse(waiting, "queue")
+            self._refuse(waiting, "queue", now_s)
             return
         queue.push(waiting)
         self._counts.events["openings_held"] += 1
@@ -187,7 +189,7 @@
                 return
             queue.remove(placed)
 
-    def _refuse(self, waiting: holding.Waiting, why: str) -> None:
+    def _refuse(self, waiting: holding.Waiting, why: str, now_s: float) -> None:
         packet = waiting.packet
         placed = self._placements.get(packet.caller_flow)
         is_safe = placed is None or not placed.is_answered
@@ -195,6 +197,9 @@
         if not self._checks.holds(is_safe, promise, packet.caller_flow):
             return
         self._counts.events[f"refused_{why}"] += 1
+        if now_s - self._refusal_logged_s >= REFUSAL_LOG_S:
+            self._refusal_logged_s = now_s
+            self._out.log(events.FLOW_REFUSED, waiting.rule.service, f"{why}; first this second")
         if packet.protocol == packets.TCP:
             self._out.to_fabric(packets.build_reset_reply(packet))
 
@@ -458,7 +463,7 @@
         """
         for service, queue in self._queues.items():
             for waiting in queue.expire(now_s):
-                self._refuse(waiting, "wait")
+                self._refuse(waiting, "wait", now_s)
             self._pump(service, now_s)
         if not self._policy.is_local and now_s - self._reconciled_s >= RECONCILE_S:
             self._reconciled_s = now_s
