--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -24,7 +24,7 @@
 CONTROL = {
     "name": "a",
     "zone": "a",
-    "replicas": [{"name": "a", "host": "127.0.0.1", "port": 7070}],
+    "replicas": [{"name": n, "host": "127.0.0.1", "port": 7070 + i} for i, n in enumerate("abc")],
     "data_folder": "data",
     "secrets_folder": "secrets",
 }
@@ -71,10 +71,10 @@
 @pytest.mark.parametrize(
     ("change", "path"),
     [
-        ({"name": "b"}, r"\$.name"),
-        ({"replicas": []}, r"\$.replicas"),
-        ({"replicas": CONTROL["replicas"] * 3}, r"\$.replicas\[1\]"),
-        ({"replicas": [{"name": "a/b", "host": "::1", "port": 1}]}, r"\$.replicas\[0\].name"),
+        ({"name": "d"}, r"\$.name"),
+        ({"replicas": CONTROL["replicas"][:1]}, r"\$.replicas"),
+        ({"replicas": CONTROL["replicas"][:1] * 3}, r"\$.replicas\[1\]"),
+        ({"replicas": [{"name": "/", "host": "::1", "port": 1}] * 3}, r"\$.replicas\[0\].name"),
     ],
 )
 def test_wrong_control_settings_name_the_key(tmp_path, change, path):
--- a/zinniaspoke/adapters/http.py
+++ b/zinniaspoke/adapters/http.py
@@ -9,7 +9,7 @@
 import attrs
 from aiohttp import web
 
-from zinniaspoke import announcements, errors, ports, status, targets
+from zinniaspoke import announcements, errors, levels, ports, status, targets
 from zinniaspoke import events as event_catalogue
 
 BODY_LIMIT_BYTES = 64 * 1024
@@ -42,6 +42,7 @@
         is_ready: Whether the fabric should send packets here.
         rules: Number and bytes of the rule file in force.
         status: What the VM knows.
+        levels: Its service levels by service and minute.
         explain: What the VM knows of one flow.
         hold: Drains a target by name, or takes that back; False where it is not known.
         metrics: Metrics as Prometheus text.
@@ -53,6 +54,7 @@
     is_ready: Callable[[], bool]
     rules: Callable[[], tuple[int, bytes]]
     status: Callable[[], status.EntryStatus]
+    levels: Callable[[], dict[str, list[levels.Minute]]]
     explain: Callable[[bytes], status.FlowStatus]
     hold: Callable[[str, bool], bool]
     metrics: Callable[[], bytes]
@@ -107,6 +109,7 @@
                 web.get("/health", self._get_health),
                 web.get("/rules", self._get_rules),
                 web.get("/status", self._get_status),
+                web.get("/levels", self._get_levels),
                 web.get("/metrics", self._get_metrics),
                 web.get("/flows/{flow}", self._get_flow),
                 web.post("/leave", self._post_leave),
@@ -187,6 +190,13 @@
             return web.json_response({"error": "wrong operator token"}, status=401)
         return web.json_response(attrs.asdict(self._handlers.status()))
 
+    async def _get_levels(self, request: web.Request) -> web.Response:
+        if not self._is_operator(request, "read"):
+            return web.json_response({"error": "wrong operator token"}, status=401)
+        found = self._handlers.levels()
+        body = {s: [attrs.asdict(minute) for minute in minutes] for s, minutes in found.items()}
+        return web.json_response(body)
+
     async def _get_flow(self, request: web.Request) -> web.Response:
         if not self._is_operator(request, "read"):
             return web.json_response({"error": "wrong operator token"}, status=401)
--- a/zinniaspoke/caller_path.py
+++ b/zinniaspoke/caller_path.py
@@ -7,6 +7,7 @@
     flows,
     geneve,
     invariants,
+    levels,
     membership,
     outbox,
     packets,
@@ -36,6 +37,7 @@
         out: outbox.Outbox,
         checks: invariants.Invariants,
         counts: counters.Counters,
+        recorder: levels.LevelRecorder,
     ) -> None:
         """Connects the path.
 
@@ -50,6 +52,7 @@
             out: Where packets go.
             checks: Promises to check.
             counts: Counters to raise.
+            recorder: Counts service levels.
         """
         self._members = members
         self._own_id = members.own.id
@@ -62,6 +65,7 @@
         self._out = out
         self._checks = checks
         self._counts = counts
+        self._recorder = recorder
 
     def from_fabric(self, packet: packets.Packet, now_s: float) -> None:
         """Steers a packet that the fabric handed to this VM.
@@ -144,6 +148,7 @@
         if not rule:
             self._counts.drops[rule.reason] += 1
             return
+        self._recorder.note_opening(flow, rule.service, now_s)
         placer_id = self._members.placer_id(rule.service.encode())
         if placer_id == self._own_id:
             self._placing.open(packet, rule, self._own_id, is_fresh, now_s)
@@ -178,20 +183,32 @@
         """Sends a packet of a known flow to the flow's target."""
         target = record.target
         if self._table.is_replaced(target):
-            self._reset_orphan(packet, record)
+            self._reset_orphan(packet, record, now_s)
             return
         if record.stage is flows.Stage.ANSWERED and not packet.opens:
             self._placing.note_caller_round_trip(now_s - record.opened_s)
+        was_counted = record.is_counted
         record.note_caller_packet(packet, now_s)
         self._records.settle(record)
+        self._note_levels(record, was_counted, now_s)
         if record.retransmit_count >= SILENT_RETRANSMIT_COUNT and self._is_silent(record, now_s):
             self.reset_both(record, "silent")
+            self._recorder.note_end(record.target.service, True, now_s)
             return
         if packet.flags & packets.RST:
             self._show_reset(packet, record, now_s)
             return
         self._out.to_target(target, packet.raw)
 
+    def _note_levels(self, record: flows.Flow, was_counted: bool, now_s: float) -> None:
+        service = record.target.service
+        if record.asked_s >= 0.0 and record.payload_forwarded and not record.awaits_answer:
+            if not record.is_long:
+                self._recorder.note_first_answer(service, now_s - record.asked_s, now_s)
+            record.asked_s = -1.0
+        if was_counted and not record.is_counted:
+            self._recorder.note_end(service, False, now_s)
+
     def _is_silent(self, record: flows.Flow, now_s: float) -> bool:
         """Tells one flow's silence from that of its whole target or path."""
         if now_s - record.stalled_s < SILENT_S:
@@ -199,11 +216,12 @@
         state = self._table.states.get(record.target.tag)
         return state is not None and state.answered_s > record.stalled_s
 
-    def _reset_orphan(self, packet: packets.Packet, record: flows.Flow) -> None:
+    def _reset_orphan(self, packet: packets.Packet, record: flows.Flow, now_s: float) -> None:
         """Tells the caller that the flow's process is gone; its outcome is unknown."""
         self._records.discard(record.key)
         self._witnesses.discard(record.key)
         self._counts.events["flows_of_replaced_targets"] += 1
+        self._recorder.note_end(record.target.service, True, now_s)
         if packet.protocol == packets.TCP and not packet.flags & packets.RST:
             self._out.to_fabric(packets.build_reset_reply(packet))
 
--- a/zinniaspoke/cli.py
+++ b/zinniaspoke/cli.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import pathlib
 import signal
 import sys
 from collections.abc import Callable, Sequence
@@ -20,6 +21,7 @@
 EXIT_USAGE = 2
 EXIT_UNKNOWN = 3
 DEFAULT_OPERATOR_SETTINGS = "operator.json"
+BURN_WINDOWS = ("5 min", "1 h", "6 h", "3 d")
 
 Run = Callable[[flags.FlagValues, list[str]], int]
 
@@ -75,6 +77,11 @@
     flags.DEFINE_boolean("json", False, "Print JSON.", flag_values=values)
 
 
+def _html_flag(values: flags.FlagValues) -> None:
+    text = "Write one self-contained HTML page here."
+    flags.DEFINE_string("html", None, text, flag_values=values)
+
+
 def _target_flag(values: flags.FlagValues) -> None:
     text = "Drain this target instead of an entry VM; its name as status shows it."
     flags.DEFINE_string("target", None, text, flag_values=values)
@@ -313,6 +320,35 @@
     return EXIT_OK
 
 
+@_command(
+    "report [--json] [--html=FILE]",
+    "Prints the service-level burn of every service.",
+    _operator_flag,
+    _json_flag,
+    _html_flag,
+)
+def _run_report(values: flags.FlagValues, words: list[str]) -> int:
+    _none(words)
+    found = asyncio.run(porcelain.report(_operator(values)))
+    if values["html"].value:
+        pathlib.Path(values["html"].value).write_text(found.to_html(), encoding="utf-8")
+        print(f"wrote {values['html'].value}")
+        return EXIT_OK
+    if values["json"].value:
+        _print_json([attrs.asdict(one) for one in found.burns])
+        return EXIT_OK
+    rows = [
+        (b.service, b.kind, f"{b.objective:.2%}", *map(_rate, b.rates), f"{b.budget_left:.0%}")
+        for b in found.burns
+    ]
+    _print_table(rows, ("service", "promise", "objective", *BURN_WINDOWS, "budget left"))
+    return EXIT_OK
+
+
+def _rate(rate: float | None) -> str:
+    return "-" if rate is None else f"{rate:.2f}"
+
+
 @_command(
     "secrets --services=A,B FOLDER",
     "Writes fresh keys and tokens for a new deployment.",
--- a/zinniaspoke/daemons/entry.py
+++ b/zinniaspoke/daemons/entry.py
@@ -82,6 +82,7 @@
             witness_limit=config.limits.witness_count,
             policy=config.placement_policy,
             is_strict=self._is_strict,
+            wall_offset_s=time.time() - self.now(),
         )
 
     async def start(self) -> None:
@@ -137,6 +138,7 @@
             is_ready=self._is_ready,
             rules=lambda: (core.book.number, core.book.current.content),
             status=self._status,
+            levels=lambda: core.recorder.minutes(),
             explain=self._explain,
             hold=self._hold,
             metrics=lambda: self._metrics.render(),
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -17,6 +17,7 @@
     geneve,
     gossip,
     invariants,
+    levels,
     membership,
     outbox,
     packets,
@@ -59,6 +60,7 @@
         witness_limit: Most witnesses held.
         policy: Name of the placement policy.
         is_strict: Whether a broken promise raises.
+        wall_offset_s: Seconds since 1970 less the core's clock.
     """
 
     own: membership.Member
@@ -70,6 +72,7 @@
     witness_limit: int = 300_000
     policy: str = placement.DEFAULT_POLICY
     is_strict: bool = False
+    wall_offset_s: float = 0.0
 
 
 class Entry:
@@ -85,6 +88,7 @@
         """
         self.config = config
         self.counts = counters.Counters()
+        self.recorder = levels.LevelRecorder(wall_offset_s=config.wall_offset_s)
         self.members = membership.Membership(own=config.own, now_s=now_s)
         self.table = targets.TargetTable()
         self.book = rulebook.RuleBook()
@@ -118,6 +122,7 @@
             out=self.out,
             checks=checks,
             counts=self.counts,
+            recorder=self.recorder,
             rng=rng,
             now_s=now_s,
         )
@@ -143,6 +148,7 @@
             out=self.out,
             checks=checks,
             counts=self.counts,
+            recorder=self.recorder,
         )
         self.return_path = return_path.ReturnPath(
             members=self.members,
@@ -154,6 +160,7 @@
             out=self.out,
             checks=checks,
             counts=self.counts,
+            recorder=self.recorder,
         )
         self._sweeper = _Sweeper(core=self)
         self._placed_services: frozenset[str] = frozenset()
@@ -341,6 +348,7 @@
         live_ids = frozenset((*self.members.reachable_ids, self.members.own.id))
         self.placing.tick(now_s, live_ids)
         self._sweeper.tick(now_s)
+        self.recorder.tick(now_s)
         self.copying.tick(now_s)
         self.witnesses.expire(now_s, SWEEP_SLICE_COUNT)
         for target in self.table.forget_expired(now_s):
--- a/zinniaspoke/flows.py
+++ b/zinniaspoke/flows.py
@@ -33,6 +33,7 @@
         is_long: Whether the work is known to run long.
         stage: How far the flow has come.
         opened_s: When the record was made.
+        asked_s: When the caller first asked, or negative once its first answer was noted.
         seen_s: When a packet of the flow last passed.
         payload_forwarded: Whether any payload byte went to the target.
         caller_sequence: The next sequence number that the caller will use.
@@ -52,6 +53,7 @@
     is_long: bool = False
     stage: Stage = Stage.ANSWERED
     opened_s: float = 0.0
+    asked_s: float = -1.0
     seen_s: float = 0.0
     payload_forwarded: bool = False
     caller_sequence: int = 0
--- /dev/null
+++ b/zinniaspoke/levels.py
@@ -0,0 +1,172 @@
+"""Service levels as an entry VM counts them, minute by minute."""
+
+import bisect
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+ANSWER_BOUNDS_S = (0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+MINUTE_S = 60.0
+KEPT_MINUTE_COUNT = 3 * 24 * 60
+OPENING_LIMIT_S = 10.0
+OPENING_LIMIT_COUNT = 100_000
+
+
+@attrs.define(kw_only=True, slots=True)
+class Minute:
+    """What was counted for one service in one minute.
+
+    Attributes:
+        minute: Minutes since 1970.
+        answered: Openings that a target answered.
+        unanswered: Openings without an answer, refused ones included.
+        refused: Openings that the placer refused.
+        broken: Flows that were reset because their target or path was gone.
+        ended: Flows that ended, broken ones included.
+        answers: Short work's first answers, by ``ANSWER_BOUNDS_S`` and beyond.
+    """
+
+    minute: int
+    answered: int = 0
+    unanswered: int = 0
+    refused: int = 0
+    broken: int = 0
+    ended: int = 0
+    answers: list[int] = attrs.field(factory=lambda: [0] * (len(ANSWER_BOUNDS_S) + 1))
+
+    def add(self, other: "Minute") -> None:
+        """Adds another VM's or minute's counts.
+
+        Args:
+            other: The counts to add.
+        """
+        self.answered += other.answered
+        self.unanswered += other.unanswered
+        self.refused += other.refused
+        self.broken += other.broken
+        self.ended += other.ended
+        self.answers = [a + b for a, b in zip(self.answers, other.answers, strict=True)]
+
+
+@attrs.define(kw_only=True, slots=True)
+class _Opening:
+    service: str
+    since_s: float
+
+
+class LevelRecorder:
+    """Counts the service levels of the flows for which this VM is home or placer."""
+
+    def __init__(self, *, wall_offset_s: float) -> None:
+        """Starts empty.
+
+        Args:
+            wall_offset_s: Seconds since 1970 less the core's clock.
+        """
+        self._wall_offset_s = wall_offset_s
+        self._minutes: dict[str, deque[Minute]] = {}
+        self._openings: dict[bytes, _Opening] = {}
+
+    def _minute(self, service: str, now_s: float) -> Minute:
+        minutes = self._minutes.get(service)
+        if minutes is None:
+            minutes = self._minutes[service] = deque(maxlen=KEPT_MINUTE_COUNT)
+        number = int((now_s + self._wall_offset_s) // MINUTE_S)
+        if not minutes or minutes[-1].minute < number:
+            minutes.append(Minute(minute=number))
+        return minutes[-1]
+
+    def note_opening(self, flow: bytes, service: str, now_s: float) -> None:
+        """Notes an opening at its home; a repeated one counts once.
+
+        Args:
+            flow: The flow's key.
+            service: Its service.
+            now_s: Current time.
+        """
+        if flow not in self._openings and len(self._openings) < OPENING_LIMIT_COUNT:
+            self._openings[flow] = _Opening(service=service, since_s=now_s)
+
+    def note_answered(self, flow: bytes, now_s: float) -> float:
+        """Notes that a target answered an opening.
+
+        Args:
+            flow: The flow's key.
+            now_s: Current time.
+
+        Returns:
+            When the caller first asked, or the current time where that is not known.
+        """
+        opening = self._openings.pop(flow, None)
+        if opening is None:
+            return now_s
+        self._minute(opening.service, now_s).answered += 1
+        return opening.since_s
+
+    def note_first_answer(self, service: str, elapsed_s: float, now_s: float) -> None:
+        """Notes when the first payload came back for short work.
+
+        Args:
+            service: The service.
+            elapsed_s: Time since the caller first asked.
+            now_s: Current time.
+        """
+        index = bisect.bisect_left(ANSWER_BOUNDS_S, elapsed_s)
+        self._minute(service, now_s).answers[index] += 1
+
+    def note_refused(self, service: str, now_s: float) -> None:
+        """Notes a refusal at the placer.
+
+        Args:
+            service: The service.
+            now_s: Current time.
+        """
+        self._minute(service, now_s).refused += 1
+
+    def note_end(self, service: str, is_broken: bool, now_s: float) -> None:
+        """Notes the end of a flow.
+
+        Args:
+            service: The service.
+            is_broken: Whether it was reset because its target or path was gone.
+            now_s: Current time.
+        """
+        minute = self._minute(service, now_s)
+        minute.ended += 1
+        minute.broken += is_broken
+
+    def tick(self, now_s: float) -> None:
+        """Counts openings that nobody answered in time.
+
+        Args:
+            now_s: Current time.
+        """
+        while self._openings:
+            flow, opening = next(iter(self._openings.items()))
+            if now_s - opening.since_s < OPENING_LIMIT_S:
+                return
+            del self._openings[flow]
+            self._minute(opening.service, now_s).unanswered += 1
+
+    def minutes(self) -> dict[str, list[Minute]]:
+        """Returns all kept minutes by service, the oldest first."""
+        return {service: list(found) for service, found in self._minutes.items()}
+
+
+def merge(parts: Iterable[dict[str, list[Minute]]]) -> dict[str, list[Minute]]:
+    """Adds up what several entry VMs counted.
+
+    Args:
+        parts: Each VM's minutes by service.
+
+    Returns:
+        The sums by service, the oldest minute first.
+    """
+    sums: dict[str, dict[int, Minute]] = {}
+    for part in parts:
+        for service, minutes in part.items():
+            own = sums.setdefault(service, {})
+            for minute in minutes:
+                own.setdefault(minute.minute, Minute(minute=minute.minute)).add(minute)
+    return {s: [own[m] for m in sorted(own)] for s, own in sorted(sums.items())}
--- a/zinniaspoke/placer.py
+++ b/zinniaspoke/placer.py
@@ -13,6 +13,7 @@
     events,
     holding,
     invariants,
+    levels,
     loads,
     membership,
     outbox,
@@ -79,6 +80,7 @@
         out: outbox.Outbox,
         checks: invariants.Invariants,
         counts: counters.Counters,
+        recorder: levels.LevelRecorder,
         rng: random.Random,
         now_s: float,
     ) -> None:
@@ -92,6 +94,7 @@
             out: Where packets go.
             checks: Promises to check.
             counts: Counters to raise.
+            recorder: Counts service levels.
             rng: Seeded random source.
             now_s: Current time.
         """
@@ -102,6 +105,7 @@
         self._out = out
         self._checks = checks
         self._counts = counts
+        self._recorder = recorder
         self._rng = rng
         self._budget = retry.RetryBudget(now_s=now_s)
         self._queues: dict[str, holding.HoldQueue] = {}
@@ -197,6 +201,7 @@
         if not self._checks.holds(is_safe, promise, packet.caller_flow):
             return
         self._counts.events[f"refused_{why}"] += 1
+        self._recorder.note_refused(waiting.rule.service, now_s)
         if now_s - self._refusal_logged_s >= REFUSAL_LOG_S:
             self._refusal_logged_s = now_s
             self._out.log(events.FLOW_REFUSED, waiting.rule.service, f"{why}; first this second")
--- a/zinniaspoke/porcelain.py
+++ b/zinniaspoke/porcelain.py
@@ -3,13 +3,14 @@
 import asyncio
 import difflib
 import pathlib
+import time
 from collections.abc import Sequence
 
 import aiohttp
 import attrs
 
-from zinniaspoke import errors, rules, secretfiles, settings, status
-from zinniaspoke.adapters import logs, rpc
+from zinniaspoke import burn, errors, levels, rules, secretfiles, settings, status
+from zinniaspoke.adapters import logs, report_page, rpc
 from zinniaspoke.daemons import control, entry
 from zinniaspoke.proto import control_pb2
 
@@ -360,6 +361,65 @@
     return [status.FlowStatus(**a) for a in answers if not isinstance(a, BaseException)]
 
 
+@attrs.frozen(kw_only=True)
+class Report:
+    """The service-level burn of a deployment.
+
+    Attributes:
+        burns: The burn of every objective.
+        minutes: Merged minutes by service.
+        objectives: The objectives.
+        now_minute: Minutes since 1970.
+        vm_count: Entry VMs that answered.
+    """
+
+    burns: list[burn.Burn]
+    minutes: dict[str, list[levels.Minute]]
+    objectives: tuple[burn.Objective, ...]
+    now_minute: int
+    vm_count: int
+
+    def to_html(self) -> str:
+        """Renders one self-contained page."""
+        return report_page.render(self.burns, self.minutes, self.objectives, self.now_minute)
+
+
+async def report(config: settings.OperatorSettings) -> Report:
+    """Works out the burn from what all entry VMs counted.
+
+    Args:
+        config: The operator's settings; services without an objective get the usual one.
+
+    Returns:
+        The report.
+
+    Raises:
+        errors.Error: No entry VM answered.
+    """
+    calls = [_call(config, "GET", e, "/levels", "read") for e in config.entry_vms]
+    answers = await asyncio.gather(*calls, return_exceptions=True)
+    parts = [_minutes(a) for a in answers if not isinstance(a, BaseException)]
+    if not parts:
+        raise errors.Error(step="report", peer="entry VMs", reason="none answered")
+    merged = levels.merge(parts)
+    promised = {objective.service: objective for objective in config.objectives}
+    for service in merged:
+        promised.setdefault(service, burn.Objective(service=service))
+    now_minute = int(time.time() // levels.MINUTE_S)
+    objectives = tuple(promised.values())
+    return Report(
+        burns=burn.compute(merged, objectives, now_minute),
+        minutes=merged,
+        objectives=objectives,
+        now_minute=now_minute,
+        vm_count=len(parts),
+    )
+
+
+def _minutes(body: dict) -> dict[str, list[levels.Minute]]:
+    return {s: [levels.Minute(**minute) for minute in found] for s, found in body.items()}
+
+
 def suggest(word: str, known: Sequence[str]) -> str:
     """Suggests what a mistyped name may have meant.
 
--- a/zinniaspoke/return_path.py
+++ b/zinniaspoke/return_path.py
@@ -8,6 +8,7 @@
     flows,
     geneve,
     invariants,
+    levels,
     membership,
     outbox,
     packets,
@@ -34,6 +35,7 @@
         out: outbox.Outbox,
         checks: invariants.Invariants,
         counts: counters.Counters,
+        recorder: levels.LevelRecorder,
     ) -> None:
         """Connects the path.
 
@@ -47,6 +49,7 @@
             out: Where packets go.
             checks: Promises to check.
             counts: Counters to raise.
+            recorder: Counts service levels.
         """
         self._members = members
         self._own_id = members.own.id
@@ -58,6 +61,7 @@
         self._out = out
         self._checks = checks
         self._counts = counts
+        self._recorder = recorder
         self._packed: dict[str, bytes] = {}
 
     def from_target(self, packet: packets.Packet, source_host: str, now_s: float) -> None:
@@ -126,8 +130,11 @@
         if is_answer and (record is None or record.is_closed):
             record = self._fix_target(packet, flow, target, steering.sender_id, now_s)
         if record is not None:
+            was_counted = record.is_counted
             record.note_target_packet(packet, now_s)
             self._records.settle(record)
+            if was_counted and not record.is_counted:
+                self._recorder.note_end(target.service, False, now_s)
         self._show(packet, target, now_s)
 
     def _drop_other(
@@ -156,6 +163,7 @@
             target=target,
             is_long=bool(rule and rule.is_long),
             opened_s=now_s,
+            asked_s=self._recorder.note_answered(flow, now_s),
             seen_s=now_s,
             caller_sequence=packet.acknowledgment,
             caller_acknowledgment=packet.next_sequence,
--- a/zinniaspoke/settings.py
+++ b/zinniaspoke/settings.py
@@ -8,7 +8,7 @@
 import attrs
 import cattrs
 
-from zinniaspoke import errors, placement
+from zinniaspoke import burn, errors, levels, placement
 
 Checked = TypeVar("Checked")
 
@@ -150,12 +150,14 @@
         control_replicas: gRPC endpoints of the control replicas.
         secrets_folder: Folder with the operator's token files.
         tls: TLS towards the control replicas, or null.
+        objectives: What each service promises, for the report.
     """
 
     entry_vms: tuple[Endpoint, ...]
     control_replicas: tuple[Endpoint, ...]
     secrets_folder: str
     tls: Tls | None = None
+    objectives: tuple[burn.Objective, ...] = ()
 
 
 def _converter() -> cattrs.Converter:
@@ -269,8 +271,8 @@
         errors.SettingsError: As ``load_entry``.
     """
     found = _structure(path, ControlSettings)
-    if len(found.replicas) not in (1, 3, 5):
-        raise _error("$.replicas", f"there are 1, 3 or 5 replicas, not {len(found.replicas)}")
+    if len(found.replicas) not in (3, 5):
+        raise _error("$.replicas", f"there are 3 or 5 replicas, not {len(found.replicas)}")
     names = [replica.name for replica in found.replicas]
     pairs = [(replica.host, replica.port) for replica in found.replicas]
     for index, replica in enumerate(found.replicas):
@@ -302,4 +304,15 @@
     for name in ("entry_vms", "control_replicas"):
         for index, endpoint in enumerate(getattr(found, name)):
             _check_endpoint(f"$.{name}[{index}]", endpoint.host, endpoint.port)
+    for index, objective in enumerate(found.objectives):
+        _check_objective(f"$.objectives[{index}]", objective)
     return found
+
+
+def _check_objective(path: str, objective: burn.Objective) -> None:
+    for name in ("availability", "first_answer_share", "unbroken_share"):
+        if not 0.0 < getattr(objective, name) < 1.0:
+            raise _error(f"{path}.{name}", "is not between 0 and 1")
+    if objective.first_answer_s not in levels.ANSWER_BOUNDS_S:
+        known = ", ".join(f"{bound_s:g}" for bound_s in levels.ANSWER_BOUNDS_S)
+        raise _error(f"{path}.first_answer_s", f"is not one of {known}")
