--- a/zinniaspoke/adapters/report_page.py
+++ b/zinniaspoke/adapters/report_page.py
@@ -106,8 +106,8 @@
         ago, [m.unanswered for m in shown], width=1.0, bottom=bottom, color="#c0392b",
         label="unanswered",
     )  # fmt: skip
-    left.set_title("openings a minute")
-    late = [burn._first_answer(m, objective.first_answer_s) for m in shown]
+    left.set_title("openings a minute", loc="right")
+    late = [burn.tally("first answer", [m], objective, 0) for m in shown]
     shares = [t.bad / (t.good + t.bad) if t.good + t.bad else 0.0 for t in late]
     right.plot(
         ago, shares, drawstyle="steps-mid", color="#d68910",
@@ -116,12 +116,12 @@
     broken = [m.broken / m.ended if m.ended else 0.0 for m in shown]
     right.plot(ago, broken, drawstyle="steps-mid", color="#c0392b", label="flows broken")
     right.axhline(1.0 - objective.first_answer_share, color="#999", linewidth=0.8, linestyle="--")
-    right.set_title("share beyond the objective")
+    right.set_title("share beyond the objective", loc="right")
     right.set_ylim(bottom=0.0)
     for axes in (left, right):
         axes.set_xlabel("minutes ago")
         axes.set_xlim(min([*ago, -30]) - 1, 1)
-        axes.legend(loc="upper left", frameon=False)
+        axes.legend(loc="lower left", bbox_to_anchor=(0.0, 0.98), ncols=2, frameon=False)
         axes.spines[["top", "right"]].set_visible(False)
     buffer = io.BytesIO()
     drawing.savefig(buffer, format="png", dpi=110)
--- a/zinniaspoke/demo.py
+++ b/zinniaspoke/demo.py
@@ -2,34 +2,24 @@
 
 import asyncio
 import collections
-import json
 import os
-import pathlib
 import random
-import secrets
-import sys
 import tempfile
 from collections.abc import Callable
 
 import attrs
 import tabulate
 
-from zinniaspoke import geneve, rules, settings
-from zinniaspoke.adapters import logs, rpc
-from zinniaspoke.daemons import control as control_daemon
-from zinniaspoke.daemons import entry as entry_daemon
-from zinniaspoke.proto import control_pb2
-from zinniaspoke.standins import announcer, caller, fabric, traffic
+from zinniaspoke import rules
+from zinniaspoke.adapters import logs
+from zinniaspoke.daemons import entry
+from zinniaspoke.standins import announcer, caller, site, traffic
 
-REPLICA_COUNT = 3
-ENTRY_COUNT = 6
-START_LIMIT_S = 8.0
 SHORT_FLOWS_PER_S = 60
 IDLE_FLOWS_PER_SERVICE = 6
 LOAD_S = 16.0
 FINISH_LIMIT_S = 5.0
 SERVICE_PORT = 8443
-ZONES = ("a", "b", "c", "d")
 HOST_COUNTS = {"carne-api": 7, "extrato-svc": 4, "despacho": 7, "archivo-planos": 4}
 KILL_STEP = "kill of an entry VM"
 
@@ -85,33 +75,23 @@
         """Prepares the demo.
 
         Args:
-            folder: Folder for data, secrets and logs.
+            folder: Folder for data, secrets and settings.
             seed: Seed of all random choices that are the demo's own.
             say: Prints a line.
         """
-        self._folder = pathlib.Path(folder)
         self._rng = random.Random(seed)
-        self._seed = seed
         self._say = say
-        self._net_octet = 64 + os.getpid() % 128
         self._tally = traffic.Traffic()
-        self._net = fabric.Fabric(rng=self._child_rng())
-        self._entries: dict[str, entry_daemon.EntryDaemon] = {}
-        self._controls: list[control_daemon.ControlDaemon] = []
+        self._site = site.Site(folder=folder, services=list(HOST_COUNTS), rng=self._child_rng())
         self._targets: list[announcer.AnnouncingTarget] = []
-        self._tokens = {name: secrets.token_hex(12) for name in HOST_COUNTS}
         self._rules = rules.EMPTY
         self._started_s = 0.0
         self._steady: set[str] = set()
         self._control_rates: list[float] = []
-        self._load_started_s = 0.0
 
     def _child_rng(self) -> random.Random:
         return random.Random(self._rng.randrange(1 << 62))
 
-    def _host(self, block: int, number: int) -> str:
-        return f"127.{self._net_octet}.{block}.{number}"
-
     def _step(self, text: str) -> None:
         now_s = asyncio.get_running_loop().time()
         self._tally.step = text
@@ -119,83 +99,6 @@
 
     # Set-up
 
-    def _write_secrets(self) -> None:
-        folder = self._folder / "secrets"
-        folder.mkdir(parents=True, exist_ok=True)
-        (folder / "datagram.key").write_text(secrets.token_hex(16))
-        for role in ("read", "submit", "drain", "replica"):
-            (folder / f"operator-{role}.token").write_text(secrets.token_hex(12))
-        for service, token in self._tokens.items():
-            (folder / f"announce-{service}.token").write_text(token)
-
-    def _replicas(self) -> list[dict[str, object]]:
-        return [
-            {"name": f"control-{ZONES[i]}", "host": self._host(2, 1 + i), "port": 7070}
-            for i in range(REPLICA_COUNT)
-        ]
-
-    def _settings_file(self, name: str, body: dict[str, object]) -> str:
-        path = self._folder / f"{name}.json"
-        path.write_text(json.dumps(body))
-        return str(path)
-
-    def _control_settings(self, index: int) -> settings.ControlSettings:
-        name = f"control-{ZONES[index]}"
-        body = {
-            "name": name,
-            "zone": f"zone-{ZONES[index]}",
-            "replicas": self._replicas(),
-            "data_folder": str(self._folder / name),
-            "secrets_folder": str(self._folder / "secrets"),
-        }
-        return settings.load_control(self._settings_file(name, body))
-
-    def _entry_settings(self, number: int) -> settings.EntrySettings:
-        zone = ZONES[number % len(ZONES)]
-        seeds = [{"host": self._host(1, 1 + i), "port": 6082} for i in range(ENTRY_COUNT)]
-        replicas = [{"host": r["host"], "port": r["port"]} for r in self._replicas()]
-        body = {
-            "name": f"entry-{number}",
-            "zone": f"zone-{zone}",
-            "host": self._host(1, 1 + number),
-            "data_port": geneve.PORT,
-            "control_port": 6082,
-            "http_port": 6083,
-            "fabric": {"host": self._host(3, 1), "port": geneve.PORT},
-            "fabric_hosts": [self._host(3, 1)],
-            "seeds": seeds,
-            "control_replicas": replicas[number % 3 :] + replicas[: number % 3],
-            "secrets_folder": str(self._folder / "secrets"),
-        }
-        return settings.load_entry(self._settings_file(f"entry-{number}", body))
-
-    async def _start_control(self) -> None:
-        self._step(f"starting {REPLICA_COUNT} control replicas with data folders")
-        for index in range(REPLICA_COUNT):
-            config = self._control_settings(index)
-            daemon = control_daemon.ControlDaemon(
-                config=config,
-                output=logs.EliotLog(process=config.name),
-                seed=self._rng.randrange(1 << 62),
-            )
-            await daemon.start()
-            self._controls.append(daemon)
-
-    async def _start_entry(self, number: int) -> entry_daemon.EntryDaemon:
-        config = self._entry_settings(number)
-        daemon = entry_daemon.EntryDaemon(
-            config=config,
-            log=logs.EliotLog(process=config.name),
-            seed=self._rng.randrange(1 << 62),
-            is_strict=True,
-        )
-        await daemon.start()
-        self._entries[config.name] = daemon
-        self._net.add(
-            fabric.Route(host=config.host, data_port=config.data_port, http_port=config.http_port)
-        )
-        return daemon
-
     def _new_target(
         self, service: str, address: str, incarnation: int
     ) -> announcer.AnnouncingTarget:
@@ -204,8 +107,8 @@
             address=address,
             port=SERVICE_PORT,
             incarnation=incarnation,
-            token=self._tokens[service],
-            net=self._net,
+            token=self._site.announcement_token(service),
+            net=self._site.net,
             tally=self._tally,
             rng=self._child_rng(),
         )
@@ -215,7 +118,7 @@
         self._step(f"starting {count} targets, which announce themselves")
         for block, (service, host_count) in enumerate(HOST_COUNTS.items()):
             for index in range(host_count):
-                started = self._new_target(service, self._host(10 + block, 1 + index), 1)
+                started = self._new_target(service, self._site.host(10 + block, 1 + index), 1)
                 await started.start()
                 self._targets.append(started)
                 self._steady.add(started.host.name)
@@ -235,30 +138,10 @@
 
     async def _submit(self, number: int) -> None:
         file = self._rule_file(number)
-        endpoints = tuple(
-            settings.Endpoint(host=r["host"], port=r["port"]) for r in self._replicas()
-        )
-        token = (self._folder / "secrets" / "operator-submit.token").read_text()
-        client = rpc.ControlClient(replicas=endpoints, tls=None, token=token)
-        reply = await client.submit(number, file.content)
-        await client.close()
-        if reply.outcome != control_pb2.SUBMIT_OUTCOME_YES:
-            raise RuntimeError(f"rule file {number} was not accepted: {reply.reason}")
-        await self._until(self._is_in_force(number), START_LIMIT_S)
+        await self._site.submit(number, file.content)
         self._rules = file
-        self._say(f"         rule file {number}: yes, in force on {len(self._entries)} entry VMs")
-
-    def _is_in_force(self, number: int) -> Callable[[], bool]:
-        return lambda: all(d.core.book.number >= number for d in self._entries.values())
-
-    @staticmethod
-    async def _until(condition: Callable[[], bool], limit_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + limit_s
-        while not condition():
-            if loop.time() > deadline_s:
-                raise TimeoutError("the deployment did not come up in time")
-            await asyncio.sleep(0.05)
+        count = len(self._site.entries)
+        self._say(f"         rule file {number}: yes, in force on {count} entry VMs")
 
     # Load
 
@@ -318,7 +201,7 @@
         stopping = asyncio.create_task(self._stop_entry("entry-1"))
         await asyncio.sleep(1.5)
         self._step("planned: start of entry-6, a new entry VM")
-        await self._start_entry(ENTRY_COUNT)
+        await self._site.start_entry(site.ENTRY_COUNT)
         await asyncio.sleep(1.5)
         self._step("planned: second rule file")
         await self._submit(2)
@@ -340,20 +223,18 @@
         await new.start()
         self._targets[self._targets.index(old)] = new
 
-    def _note_control_rate(self, daemon: entry_daemon.EntryDaemon) -> None:
+    def _note_control_rate(self, daemon: entry.EntryDaemon) -> None:
         elapsed_s = daemon.now() - daemon.started_s
         self._control_rates.append(daemon.core.counts.control_bytes_sent / elapsed_s)
 
     async def _stop_entry(self, name: str) -> None:
-        daemon = self._entries[name]
-        await daemon.leave()
+        await self._site.entries[name].leave()
         self._say(f"         {name} has left")
         await self._kill(name)
 
     async def _kill(self, name: str) -> None:
-        daemon = self._entries.pop(name)
-        self._note_control_rate(daemon)
-        await daemon.stop()
+        self._note_control_rate(self._site.entries[name])
+        await self._site.kill_entry(name)
 
     # The whole run
 
@@ -363,10 +244,7 @@
         Returns:
             What the stand-ins counted.
         """
-        loop = asyncio.get_running_loop()
-        self._started_s = loop.time()
-        self._folder.mkdir(parents=True, exist_ok=True)
-        self._write_secrets()
+        self._started_s = asyncio.get_running_loop().time()
         try:
             return await self._run()
         finally:
@@ -374,22 +252,24 @@
 
     async def _run(self) -> Result:
         loop = asyncio.get_running_loop()
-        await self._net.start(self._host(3, 1), geneve.PORT)
+        await self._site.start_fabric()
         self._callers = caller.Callers(
             loop=loop,
-            transmit=self._net.send_from_caller,
+            transmit=self._site.net.send_from_caller,
             tally=self._tally,
             rng=self._child_rng(),
         )
-        self._net.deliver = self._callers.receive
-        await self._start_control()
-        self._step(f"starting {ENTRY_COUNT} entry VMs in {len(ZONES)} availability zones")
-        for number in range(ENTRY_COUNT):
-            await self._start_entry(number)
+        self._site.net.deliver = self._callers.receive
+        self._step(f"starting {site.REPLICA_COUNT} control replicas with data folders")
+        await self._site.start_control()
+        zone_count = len(site.ZONES)
+        self._step(f"starting {site.ENTRY_COUNT} entry VMs in {zone_count} availability zones")
+        for number in range(site.ENTRY_COUNT):
+            await self._site.start_entry(number)
         await self._submit(1)
-        await self._until(lambda: self._net.ready_count == ENTRY_COUNT, START_LIMIT_S)
+        await self._site.until(lambda: self._site.net.ready_count == site.ENTRY_COUNT)
         await self._start_targets()
-        await self._until(self._know_all_targets, START_LIMIT_S)
+        await self._site.until(self._know_all_targets)
         self._step("opening flows: short, long, and idle between requests")
         load_ends_s = loop.time() + LOAD_S
         self._open_long()
@@ -406,13 +286,13 @@
 
     def _know_all_targets(self) -> bool:
         count = sum(HOST_COUNTS.values())
-        return all(len(d.core.table.states) >= count for d in self._entries.values())
+        return all(len(d.core.table.states) >= count for d in self._site.entries.values())
 
     def _result(self) -> Result:
         outcomes = list(self._tally.outcomes.values())
         broken = [o for o in outcomes if o.broken_during and not o.is_refused and not o.is_complete]
         by_kill = sum(o.broken_during == KILL_STEP for o in broken)
-        for daemon in self._entries.values():
+        for daemon in self._site.entries.values():
             self._note_control_rate(daemon)
         return Result(
             opened=len(outcomes),
@@ -436,13 +316,9 @@
         return max(ratios, default=0.0)
 
     async def _stop_all(self) -> None:
-        for daemon in self._entries.values():
-            await daemon.stop()
         for started in self._targets:
             await started.stop()
-        for replica in self._controls:
-            await replica.stop()
-        await self._net.stop()
+        await self._site.stop()
 
 
 def _dotted(rule: rules.Rule) -> str:
@@ -491,5 +367,5 @@
         logs.open_destination(os.path.join(folder, "events.log"))
         demo = Demo(folder=folder, seed=seed, say=say)
         result = asyncio.run(demo.run())
-    print(format_result(result), file=sys.stdout, flush=True)
+    print(format_result(result), flush=True)
     return result
