--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -25,13 +25,14 @@
     placer,
     return_path,
     rulebook,
+    sweep,
     targets,
 )
 from zinniaspoke.proto import peer_pb2
 
-SWEEP_SLICE_COUNT = 500
+WITNESS_SLICE_COUNT = 500
 LEAVE_QUIET_S = 1.0
-LEAVE_LIMIT_S = 30.0
+LEAVE_LIMIT_S = 300.0
 
 _STEPS: dict[geneve.Step, Callable] = {}
 
@@ -162,7 +163,16 @@
             counts=self.counts,
             recorder=self.recorder,
         )
-        self._sweeper = _Sweeper(core=self)
+        self._sweeper = sweep.Sweeper(
+            members=self.members,
+            table=self.table,
+            book=self.book,
+            records=self.records,
+            witnesses=self.witnesses,
+            copying=self.copying,
+            caller_path=self.caller_path,
+            note_idle=self.gossip.note_idle,
+        )
         self._placed_services: frozenset[str] = frozenset()
         self._seen_version = -1
         self._seen_reachable: frozenset[int] = frozenset()
@@ -350,7 +360,7 @@
         self._sweeper.tick(now_s)
         self.recorder.tick(now_s)
         self.copying.tick(now_s)
-        self.witnesses.expire(now_s, SWEEP_SLICE_COUNT)
+        self.witnesses.expire(now_s, WITNESS_SLICE_COUNT)
         for target in self.table.forget_expired(now_s):
             self.placing.forget_target(target)
             self.out.log(events.TARGET_FORGOTTEN, target.name, "lease lapsed long ago")
@@ -405,7 +415,7 @@
             self.members.own.state = membership.MemberState.LEAVING
             self.members.tick(now_s)
             self.out.log(events.LEAVE_STARTED, self.members.own.name, "")
-            self._sweeper.restart()
+            self._sweeper.restart(is_leaving=True)
         return self.tick(now_s)
 
     @property
@@ -432,102 +442,3 @@
         copied = self._sweeper.is_complete and self.copying.urgent_count == 0
         is_quiet = now_s - self._packet_s > LEAVE_QUIET_S
         return seen and copied and is_quiet and self.placing.waiting_count == 0
-
-
-class _Sweeper:
-    """Goes through the records in slices: expiry, classes, copies."""
-
-    def __init__(self, *, core: Entry) -> None:
-        self._core = core
-        self._keys: list[bytes] = []
-        self._rounds = 0
-        self._idle: dict[int, flows.TargetCount] = {}
-
-    def restart(self) -> None:
-        """Starts a new round over all records."""
-        self._keys = []
-        self._rounds = 0
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether a whole round was made since the restart."""
-        return self._rounds >= 2
-
-    def tick(self, now_s: float) -> None:
-        """Looks at the next slice.
-
-        Args:
-            now_s: Current time.
-        """
-        if not self._keys:
-            self._core.gossip.note_idle(self._idle)
-            self._idle = {}
-            self._keys = self._core.records.keys()
-            self._keys.reverse()
-            self._rounds += 1
-        for key in self._keys[-SWEEP_SLICE_COUNT:]:
-            record = self._core.records.get(key)
-            if record is not None:
-                self._look_at(record, now_s)
-        del self._keys[-SWEEP_SLICE_COUNT:]
-
-    def _look_at(self, record: flows.Flow, now_s: float) -> None:
-        core = self._core
-        silent_s = now_s - record.seen_s
-        if record.is_closed:
-            if silent_s > flows.CLOSED_LINGER_S:
-                core.records.discard(record.key)
-            return
-        self._guard(record, now_s)
-        if core.members.home_id(record.key) != core.members.own.id:
-            self._demote(record, now_s)
-            return
-        if silent_s > self._idle_limit_s(record):
-            core.caller_path.reset_both(record, "idle")
-            return
-        if not record.is_long and now_s - record.opened_s > placer.LONG_AFTER_S:
-            core.records.reclassify(record)
-        if not record.is_running(now_s):
-            self._count_idle(record)
-
-    def _demote(self, record: flows.Flow, now_s: float) -> None:
-        """Keeps a witness of a flow whose home has moved; the new home finds it here."""
-        core = self._core
-        sequence = record.caller_acknowledgment
-        core.records.discard(record.key)
-        core.witnesses.put(record.key, record.target, sequence, now_s)
-
-    def _idle_limit_s(self, record: flows.Flow) -> float:
-        size = (len(record.key) - 5) // 2
-        address, port = record.key[3 + size : 3 + 2 * size], record.key[3 + 2 * size :]
-        rule = self._core.book.find(record.key[0], address, port)
-        return rule.idle_s if rule else 900.0
-
-    def _count_idle(self, record: flows.Flow) -> None:
-        count = self._idle.setdefault(record.target.tag, flows.TargetCount())
-        if record.is_long:
-            count.long_count += 1
-        else:
-            count.short_count += 1
-
-    def _guard(self, record: flows.Flow, now_s: float) -> None:
-        """Offers a copy of a record that too few other VMs remember."""
-        core = self._core
-        remembering = core.members.remembering(record.witness_presences)
-        if len(remembering) >= copies.REMEMBERED_COUNT or record.has_ended:
-            return
-        if now_s - record.opened_s < copies.COPY_AGE_S and not core.is_leaving:
-            return
-        base = core.table.base_target(record.key, record.target.service, now_s)
-        if base and base.tag == record.target.tag:
-            return
-        core.copying.offer(
-            copies.Copy(
-                flow=record.key,
-                target=record.target,
-                sequence=record.caller_acknowledgment,
-                is_long=record.is_long,
-                is_urgent=not remembering,
-                presences=tuple(remembering),
-            )
-        )
--- /dev/null
+++ b/zinniaspoke/sweep.py
@@ -0,0 +1,149 @@
+"""The sweep over a home's records in slices: expiry, classes, copies, homes that moved."""
+
+from collections.abc import Callable
+
+from zinniaspoke import (
+    caller_path,
+    copies,
+    flows,
+    membership,
+    placer,
+    rulebook,
+    targets,
+)
+
+SLICE_COUNT = 500
+LEAVING_SLICE_COUNT = 4000
+
+
+class Sweeper:
+    """Looks at a slice of the records in each call, the oldest first."""
+
+    def __init__(
+        self,
+        *,
+        members: membership.Membership,
+        table: targets.TargetTable,
+        book: rulebook.RuleBook,
+        records: flows.FlowTable,
+        witnesses: flows.WitnessTable,
+        copying: copies.CopySender,
+        caller_path: caller_path.CallerPath,
+        note_idle: Callable[[dict[int, flows.TargetCount]], None],
+    ) -> None:
+        """Connects the sweeper.
+
+        Args:
+            members: The view of the group.
+            table: The targets.
+            book: The rules in force.
+            records: The home's records.
+            witnesses: Takes the place of records whose home has moved.
+            copying: Takes flows that too few others remember.
+            caller_path: Resets flows that were idle for too long.
+            note_idle: Takes the idle flows by target tag after each round.
+        """
+        self._members = members
+        self._table = table
+        self._book = book
+        self._records = records
+        self._witnesses = witnesses
+        self._copying = copying
+        self._caller_path = caller_path
+        self._note_idle = note_idle
+        self._is_leaving = False
+        self._keys: list[bytes] = []
+        self._rounds = 0
+        self._idle: dict[int, flows.TargetCount] = {}
+
+    def restart(self, *, is_leaving: bool) -> None:
+        """Starts a new round over all records.
+
+        Args:
+            is_leaving: Whether this VM leaves, so that young flows need copies too.
+        """
+        self._is_leaving = is_leaving
+        self._keys = []
+        self._rounds = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a whole round was made since the restart."""
+        return self._rounds >= 2
+
+    def tick(self, now_s: float) -> None:
+        """Looks at the next slice.
+
+        Args:
+            now_s: Current time.
+        """
+        if not self._keys:
+            self._note_idle(self._idle)
+            self._idle = {}
+            self._keys = self._records.keys()
+            self._keys.reverse()
+            self._rounds += 1
+        count = LEAVING_SLICE_COUNT if self._is_leaving else SLICE_COUNT
+        for key in self._keys[-count:]:
+            record = self._records.get(key)
+            if record is not None:
+                self._look_at(record, now_s)
+        del self._keys[-count:]
+
+    def _look_at(self, record: flows.Flow, now_s: float) -> None:
+        silent_s = now_s - record.seen_s
+        if record.is_closed:
+            if silent_s > flows.CLOSED_LINGER_S:
+                self._records.discard(record.key)
+            return
+        self._guard(record, now_s)
+        if self._members.home_id(record.key) != self._members.own.id:
+            self._demote(record, now_s)
+            return
+        if silent_s > self._idle_limit_s(record):
+            self._caller_path.reset_both(record, "idle")
+            return
+        if not record.is_long and now_s - record.opened_s > placer.LONG_AFTER_S:
+            self._records.reclassify(record)
+        if not record.is_running(now_s):
+            self._count_idle(record)
+
+    def _demote(self, record: flows.Flow, now_s: float) -> None:
+        """Keeps a witness of a flow whose home has moved; the new home finds it here."""
+        sequence = record.caller_acknowledgment
+        self._records.discard(record.key)
+        self._witnesses.put(record.key, record.target, sequence, now_s)
+
+    def _idle_limit_s(self, record: flows.Flow) -> float:
+        size = (len(record.key) - 5) // 2
+        address, port = record.key[3 + size : 3 + 2 * size], record.key[3 + 2 * size :]
+        rule = self._book.find(record.key[0], address, port)
+        return rule.idle_s if rule else 900.0
+
+    def _count_idle(self, record: flows.Flow) -> None:
+        count = self._idle.setdefault(record.target.tag, flows.TargetCount())
+        if record.is_long:
+            count.long_count += 1
+        else:
+            count.short_count += 1
+
+    def _guard(self, record: flows.Flow, now_s: float) -> None:
+        """Offers a copy of a record that too few other VMs remember."""
+        remembering = self._members.remembering(record.witness_presences)
+        if len(remembering) >= copies.REMEMBERED_COUNT or record.has_ended:
+            return
+        if now_s - record.opened_s < copies.COPY_AGE_S and not self._is_leaving:
+            return
+        base = self._table.base_target(record.key, record.target.service, now_s)
+        if base and base.tag == record.target.tag:
+            return
+        self._copying.offer(
+            copies.Copy(
+                flow=record.key,
+                target=record.target,
+                sequence=record.caller_acknowledgment,
+                is_long=record.is_long,
+                is_urgent=not remembering,
+                presences=tuple(remembering),
+            )
+        )
