Send to a target only while its lease or an answer vouches for its process

Ruled out: the announcement's spread without cuts (the outbox already refuses then). Change: a VM sends to a target only while its lease holds or a packet that only its service sends passed within a lease's time; the answer to an announcement tells a new process how long to wait.

--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -132,3 +132,24 @@
 TestFaults.settings = hypothesis_settings(
     max_examples=hypothesis_settings.default.max_examples // 4, stateful_step_count=25
 )
+
+
+def test_address_reused_by_another_service_during_a_cut():
+    """Found by the machine above: a VM that was cut off sent old flows to the new process."""
+    net = deployment.start(seed=58, entry_count=5)
+    opened = deployment.open_some(
+        net, 24, kind="long", request_count=30, work_s=0.05, chunk_count=1, pause_s=0.3
+    )
+    deployment.run_for(net, 1.0)
+    zones = net.zone_of_host
+    net.cut = lambda source, destination: (
+        source in zones and zones[source] != "b" and zones.get(destination) == "b"
+    )
+    deployment.run_for(net, 0.3)
+    net.add_target("extrato-svc", "127.0.10.1")
+    deployment.run_for(net, 12.0)
+    deployment.assert_promises(net)
+    net.cut = lambda source, destination: False
+    deployment.run_for(net, 10.0)
+    deployment.assert_promises(net)
+    assert any(net.tally.outcomes[flow].is_complete for flow in opened)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -80,3 +80,18 @@
         flow = number.to_bytes(4, "big")
         first, second = (t.base_target(flow, "ledger", 90.0) for t in (early, late))
         assert first == second
+
+
+def test_target_is_vouched_for_while_its_lease_or_an_answer_is_fresh():
+    table = targets.TargetTable()
+    table.merge(state(1), 0.0)
+    (known,) = table.of_service("ledger")
+    assert table.is_vouched(known.target, 2.9)
+    assert not table.is_vouched(known.target, 3.1)
+    known.answered_s = 2.5
+    assert table.is_vouched(known.target, 5.4)
+    fresh = state(1, incarnation=2, renewed_s=5.0)
+    table.merge(fresh, 5.0)
+    assert not table.is_vouched(known.target, 5.1)
+    assert table.old_lease_left_s(fresh.target, 5.0) == 0.5
+    assert table.old_lease_left_s(fresh.target, 9.0) == 0.0
--- a/zinniaspoke/adapters/http.py
+++ b/zinniaspoke/adapters/http.py
@@ -37,7 +37,8 @@
     """What the server asks the daemon.
 
     Attributes:
-        announce: Takes a target's state.
+        announce: Takes a target's state; returns the seconds for which packets of an older
+            process may still come to its address.
         services: Names of the services that the rules in force name.
         is_ready: Whether the fabric should send packets here.
         rules: Number and bytes of the rule file in force.
@@ -49,7 +50,7 @@
         begin_leave: Starts a planned leave.
     """
 
-    announce: Callable[[targets.TargetState], None]
+    announce: Callable[[targets.TargetState], float]
     services: Callable[[], frozenset[str]]
     is_ready: Callable[[], bool]
     rules: Callable[[], tuple[int, bytes]]
@@ -142,13 +143,13 @@
             announcement = announcements.parse(await self._json(request, peer), peer)
             self._tokens.check(announcement.service, self._bearer(request), peer)
             self._check_service(announcement.service, peer)
-            self._handlers.announce(announcement.to_state(self._now()))
+            wait_s = self._handlers.announce(announcement.to_state(self._now()))
         except errors.AnnouncementError as error:
             event = event_catalogue.ANNOUNCEMENT_REFUSED
             self._log.write(event, error.step, error.peer, error.reason)
             status = 401 if "token" in error.reason else 400
             return web.json_response({"error": str(error)}, status=status)
-        return web.json_response({"lease_s": announcement.lease_s})
+        return web.json_response({"lease_s": announcement.lease_s, "wait_s": wait_s})
 
     @staticmethod
     async def _json(request: web.Request, peer: str) -> object:
--- a/zinniaspoke/daemons/entry.py
+++ b/zinniaspoke/daemons/entry.py
@@ -182,8 +182,10 @@
         peer = f"{source[0]}:{source[1]}"
         self._perform(self.core.handle_control(data, peer, self.now()))
 
-    def _on_announcement(self, state: targets.TargetState) -> None:
-        self._perform(self.core.announce(state, self.now()))
+    def _on_announcement(self, state: targets.TargetState) -> float:
+        now_s = self.now()
+        self._perform(self.core.announce(state, now_s))
+        return self.core.table.old_lease_left_s(state.target, now_s)
 
     def _fetch(self, action: actions.FetchRules) -> None:
         if self._fetching is None or self._fetching.done():
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -190,6 +190,7 @@
         Returns:
             What to do.
         """
+        self.out.begin(now_s)
         try:
             frame = geneve.decapsulate(data, self._sealer.keys)
             packet = packets.decode(frame.inner)
@@ -253,6 +254,7 @@
         Returns:
             What to do.
         """
+        self.out.begin(now_s)
         try:
             datagram = self._sealer.open(data, peer)
         except errors.DatagramError as error:
@@ -352,6 +354,7 @@
         Returns:
             What to do.
         """
+        self.out.begin(now_s)
         self.members.tick(now_s)
         self._follow_view(now_s)
         self.gossip.tick(now_s)
--- a/zinniaspoke/outbox.py
+++ b/zinniaspoke/outbox.py
@@ -28,7 +28,7 @@
 
         Args:
             members: Endpoints of the siblings.
-            table: The targets; one that was replaced gets no more packets.
+            table: The targets; one that may have been replaced gets no more packets.
             sealer: Signs control datagrams; its first key signs steered packets too.
             fabric: Where packets for callers go.
             counts: Counters to raise.
@@ -39,6 +39,15 @@
         self._fabric = fabric
         self._counts = counts
         self._actions: list[actions.Action] = []
+        self._now_s = 0.0
+
+    def begin(self, now_s: float) -> None:
+        """Sets the time of the core call that follows.
+
+        Args:
+            now_s: Current time.
+        """
+        self._now_s = now_s
 
     def take(self) -> list[actions.Action]:
         """Returns the collected actions and starts anew."""
@@ -52,8 +61,8 @@
             target: Where to.
             inner: The IP packet.
         """
-        if self._table.is_replaced(target):
-            self._counts.drops["replaced_target"] += 1
+        if not self._table.is_vouched(target, self._now_s):
+            self._counts.drops["target_not_vouched"] += 1
             return
         data = geneve.encapsulate(inner)
         self._counts.data_bytes_sent += len(data)
--- a/zinniaspoke/return_path.py
+++ b/zinniaspoke/return_path.py
@@ -76,7 +76,7 @@
         address = self._pack(source_host)
         target = self._target_at(address, packet)
         if target:
-            self._table.states[target.tag].answered_s = now_s
+            self._note_alive(packet, target, now_s)
         if self._is_plain(packet, flow, now_s):
             if target:
                 self._witnesses.note(flow, target, packet, now_s)
@@ -93,6 +93,12 @@
             return
         self._out.to_sibling(home_id, packet.raw, steering)
 
+    def _note_alive(self, packet: packets.Packet, target: targets.Target, now_s: float) -> None:
+        """Notes that a target lives; a reset may come from another process at its address."""
+        rule = self._book.find_for_return(packet)
+        if rule and rule.service == target.service and not packet.flags & packets.RST:
+            self._table.states[target.tag].answered_s = now_s
+
     def _pack(self, host: str) -> bytes:
         packed = self._packed.get(host)
         if packed is None:
--- a/zinniaspoke/standins/announcer.py
+++ b/zinniaspoke/standins/announcer.py
@@ -60,6 +60,7 @@
         self._net = net
         self._sequence = 0
         self._state = "ready"
+        self._has_waited = False
         self._socket: udp.UdpSocket | None = None
         self._session: aiohttp.ClientSession | None = None
         self._task: asyncio.Task[None] | None = None
@@ -114,6 +115,14 @@
             if route is None or await self._put(route, body):
                 return
 
+    def _wait(self, seconds: float) -> None:
+        """Takes no packets while those of an older process at the address may still come."""
+        if seconds > 0.0 and not self._has_waited:
+            self.host.is_stalled = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(seconds, setattr, self.host, "is_stalled", False)
+        self._has_waited = True
+
     async def _put(self, route: fabric.Route, body: dict[str, object]) -> bool:
         url = f"http://{route.host}:{route.http_port}/targets"
         headers = {"Authorization": f"Bearer {self._token}"}
@@ -122,6 +131,8 @@
             async with self._session.put(
                 url, json=body, headers=headers, timeout=timeout
             ) as answer:
+                if answer.status == 200:
+                    self._wait((await answer.json())["wait_s"])
                 return answer.status == 200
         except (aiohttp.ClientError, TimeoutError):
             return False
--- a/zinniaspoke/standins/virtual.py
+++ b/zinniaspoke/standins/virtual.py
@@ -24,6 +24,7 @@
 ANNOUNCE_S = 1.0
 FABRIC_DETECTION_S = 0.5
 LISTEN_AFTER_S = 0.05
+OLD_LEASE_S = targets.LEASE_GRACE_S + 0.1
 FABRIC = ("127.0.3.1", geneve.PORT)
 KEY = b"0123456789abcdef"
 
@@ -53,6 +54,7 @@
         is_up: Whether it runs.
         is_draining: Whether it announces to drain.
         sequence: Number of its last announcement.
+        is_starting: Whether it announces but takes no packets yet.
     """
 
     process: target.TargetHost
@@ -60,6 +62,7 @@
     is_up: bool = True
     is_draining: bool = False
     sequence: int = 0
+    is_starting: bool = True
 
 
 class Net:
@@ -197,7 +200,8 @@
     def add_target(self, service: str, address: str, zone: str = "a", slot_count: int = 2) -> Host:
         """Starts a target process; one that stood at the address before is gone.
 
-        It announces itself first and takes packets a moment later, as docs/ asks of targets.
+        It announces itself first and takes packets only after the older process's lease has run
+        out, as the answer to an announcement asks of targets.
 
         Args:
             service: Its service.
@@ -224,7 +228,8 @@
         )
         host = Host(process=process, zone=zone)
         process.is_stalled = True
-        self.loop.call_later(LISTEN_AFTER_S, self._listen, process)
+        wait_s = LISTEN_AFTER_S if old is None else OLD_LEASE_S
+        self.loop.call_later(wait_s, self._listen, host)
         self.hosts[address] = host
         self.zone_of_host[address] = zone
         self._announce(host)
@@ -232,8 +237,9 @@
         return host
 
     @staticmethod
-    def _listen(process: target.TargetHost) -> None:
-        process.is_stalled = False
+    def _listen(host: Host) -> None:
+        host.is_starting = False
+        host.process.is_stalled = False
 
     def stop_target(self, address: str) -> None:
         """Ends a target's process at once.
@@ -259,7 +265,7 @@
     def _announce_forever(self, host: Host) -> None:
         if not host.is_up:
             return
-        if not host.process.is_stalled:
+        if not host.process.is_stalled or host.is_starting:
             self._announce(host)
         self.loop.call_later(ANNOUNCE_S, self._announce_forever, host)
 
--- a/zinniaspoke/targets.py
+++ b/zinniaspoke/targets.py
@@ -76,7 +76,7 @@
         lease_s: How long a renewal holds.
         first_seen_s: When the group first heard of it, on this VM's clock.
         replaced_s: When a newer incarnation came.
-        answered_s: When a packet from it last passed this VM.
+        answered_s: When a packet that only its service sends last passed this VM.
         is_held: Whether an operator drains it, whatever it announces.
         held_at_ms: When the operator last set this, in milliseconds since 1970.
     """
@@ -97,6 +97,22 @@
         """Whether a newer incarnation stands at its address."""
         return self.replaced_s < NEVER_S
 
+    def is_vouched(self, now_s: float) -> bool:
+        """Tells whether the same process surely still stands at its address.
+
+        A new process there waits until the old one's lease has run out, so a VM that hears of
+        neither must not send to the address any longer.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            True while no newer process is known and its lease holds or it answered as recently.
+        """
+        if self.is_replaced:
+            return False
+        return now_s - max(self.renewed_s, self.answered_s) < self.lease_s
+
     def takes_new_work(self, now_s: float) -> bool:
         """Tells whether new flows may be placed here.
 
@@ -214,6 +230,33 @@
         state = self.states.get(target.tag)
         return state is not None and state.is_replaced
 
+    def is_vouched(self, target: Target, now_s: float) -> bool:
+        """Tells whether packets may be sent to a target.
+
+        Args:
+            target: Which target.
+            now_s: Current time.
+        """
+        state = self.states.get(target.tag)
+        return state is not None and state.is_vouched(now_s)
+
+    def old_lease_left_s(self, target: Target, now_s: float) -> float:
+        """Returns how long packets of an older process may still come to a target's address.
+
+        Args:
+            target: The new process.
+            now_s: Current time.
+
+        Returns:
+            Seconds until the leases of older processes there have run out; 0 for none.
+        """
+        left_s = [
+            state.lease_s - (now_s - max(state.renewed_s, state.answered_s))
+            for state in self._by_address.get(target.address, [])
+            if state.target.port == target.port and state.target.tag != target.tag
+        ]
+        return max(0.0, *left_s, 0.0)
+
     def of_service(self, service: str) -> list[TargetState]:
         """Returns the states of a service's targets, draining and lapsed ones included."""
         return self._by_service.get(service, [])
