--- a/zinniaspoke/standins/site.py
+++ b/zinniaspoke/standins/site.py
@@ -171,10 +171,14 @@
         await daemon.stop()
         return daemon
 
-    def client(self) -> rpc.ControlClient:
-        """Returns a client that may submit."""
+    def client(self, role: str) -> rpc.ControlClient:
+        """Returns a client of the replicas.
+
+        Args:
+            role: Whose token it carries.
+        """
         endpoints = tuple(settings.Endpoint(**endpoint) for endpoint in self._endpoints())
-        token = secretfiles.load_operator_token(self._secrets_folder, "submit")
+        token = secretfiles.load_operator_token(self._secrets_folder, role)
         return rpc.ControlClient(replicas=endpoints, tls=None, token=token)
 
     async def submit(self, number: int, content: bytes) -> None:
@@ -187,7 +191,7 @@
         Raises:
             RuntimeError: It was not accepted.
         """
-        client = self.client()
+        client = self.client("submit")
         reply = await client.submit(number, content)
         await client.close()
         if reply.outcome != control_pb2.SUBMIT_OUTCOME_YES:
