Let the parts of the core share one state; drop what no one reads

Cause: five constructors listed the same eleven collaborators, a retry built a rule of its own, and two random sources were never drawn from. Change: core_state.py; the placer chooses by service and class.

--- a/zinniaspoke/caller_path.py
+++ b/zinniaspoke/caller_path.py
@@ -2,17 +2,12 @@
 
 from zinniaspoke import (
     copies,
-    counters,
+    core_state,
     events,
     flows,
     geneve,
-    invariants,
-    levels,
-    membership,
-    outbox,
     packets,
     placer,
-    rulebook,
     targets,
 )
 
@@ -27,45 +22,29 @@
     def __init__(
         self,
         *,
-        members: membership.Membership,
-        table: targets.TargetTable,
-        book: rulebook.RuleBook,
-        records: flows.FlowTable,
-        witnesses: flows.WitnessTable,
+        state: core_state.CoreState,
         placing: placer.Placer,
         copying: copies.CopySender,
-        out: outbox.Outbox,
-        checks: invariants.Invariants,
-        counts: counters.Counters,
-        recorder: levels.LevelRecorder,
     ) -> None:
         """Connects the path.
 
         Args:
-            members: The view of the group.
-            table: The targets.
-            book: The rules in force.
-            records: The home's records.
-            witnesses: What was noted in passing.
+            state: What the parts of the core share.
             placing: The placer.
             copying: The sender of copies.
-            out: Where packets go.
-            checks: Promises to check.
-            counts: Counters to raise.
-            recorder: Counts service levels.
         """
-        self._members = members
-        self._own_id = members.own.id
-        self._table = table
-        self._book = book
-        self._records = records
-        self._witnesses = witnesses
+        self._members = state.members
+        self._own_id = state.members.own.id
+        self._table = state.table
+        self._book = state.book
+        self._records = state.records
+        self._witnesses = state.witnesses
         self._placing = placing
         self._copying = copying
-        self._out = out
-        self._checks = checks
-        self._counts = counts
-        self._recorder = recorder
+        self._out = state.out
+        self._checks = state.checks
+        self._counts = state.counts
+        self._recorder = state.recorder
 
     def from_fabric(self, packet: packets.Packet, now_s: float) -> None:
         """Steers a packet that the fabric handed to this VM.
--- a/zinniaspoke/copies.py
+++ b/zinniaspoke/copies.py
@@ -4,7 +4,11 @@
 
 import attrs
 
-from zinniaspoke import counters, flows, hashing, membership, outbox, targets
+from zinniaspoke import (
+    core_state,
+    hashing,
+    targets,
+)
 from zinniaspoke.proto import peer_pb2
 
 COPY_AGE_S = 0.5
@@ -49,25 +53,19 @@
     def __init__(
         self,
         *,
-        members: membership.Membership,
-        records: flows.FlowTable,
-        out: outbox.Outbox,
-        counts: counters.Counters,
+        state: core_state.CoreState,
         now_s: float,
     ) -> None:
         """Connects the sender.
 
         Args:
-            members: The view of the group.
-            records: The home's records, which note who holds a copy.
-            out: Where datagrams go.
-            counts: Counters to raise.
+            state: What the parts of the core share.
             now_s: Current time.
         """
-        self._members = members
-        self._records = records
-        self._out = out
-        self._counts = counts
+        self._members = state.members
+        self._records = state.records
+        self._out = state.out
+        self._counts = state.counts
         self._tokens_bytes = BURST_BYTES
         self._filled_s = now_s
         self._urgent: dict[bytes, Copy] = {}
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -9,6 +9,7 @@
     actions,
     caller_path,
     copies,
+    core_state,
     counters,
     datagrams,
     errors,
@@ -88,87 +89,28 @@
             now_s: Current time.
         """
         self.config = config
-        self.counts = counters.Counters()
-        self.recorder = levels.LevelRecorder(wall_offset_s=config.wall_offset_s)
-        self.members = membership.Membership(own=config.own, now_s=now_s)
-        self.table = targets.TargetTable()
-        self.book = rulebook.RuleBook()
-        self.records = flows.FlowTable(limit=config.flow_limit)
-        self.witnesses = flows.WitnessTable(limit=config.witness_limit)
         self._sealer = datagrams.Sealer(
             sender_id=config.own.id, incarnation=config.own.incarnation, keys=config.keys
         )
-        self.out = outbox.Outbox(
-            members=self.members,
-            table=self.table,
-            sealer=self._sealer,
-            fabric=config.fabric,
-            counts=self.counts,
-        )
-        checks = invariants.Invariants(out=self.out, is_strict=config.is_strict)
-        self.copying = copies.CopySender(
-            members=self.members,
-            records=self.records,
-            out=self.out,
-            counts=self.counts,
-            now_s=now_s,
-        )
         policy = placement.create(config.policy, rng)
-        self.members.places_locally = policy.is_local
-        self.placing = placer.Placer(
-            members=self.members,
-            table=self.table,
-            copying=self.copying,
-            policy=policy,
-            out=self.out,
-            checks=checks,
-            counts=self.counts,
-            recorder=self.recorder,
-            rng=rng,
-            now_s=now_s,
-        )
-        self.gossip = gossip.Gossip(
-            members=self.members,
-            table=self.table,
-            book=self.book,
-            table_of_flows=self.records,
-            placing=self.placing,
-            out=self.out,
-            counts=self.counts,
-            seeds=config.seeds,
-            rng=rng,
-        )
+        state = self._make_state(config, policy.is_local, now_s)
+        self.counts = state.counts
+        self.members = state.members
+        self.table = state.table
+        self.book = state.book
+        self.records = state.records
+        self.witnesses = state.witnesses
+        self.out = state.out
+        self.recorder = state.recorder
+        self.copying = copies.CopySender(state=state, now_s=now_s)
+        self.placing = placer.Placer(state=state, copying=self.copying, policy=policy, now_s=now_s)
+        self.gossip = gossip.Gossip(state=state, placing=self.placing, seeds=config.seeds)
         self.caller_path = caller_path.CallerPath(
-            members=self.members,
-            table=self.table,
-            book=self.book,
-            records=self.records,
-            witnesses=self.witnesses,
-            placing=self.placing,
-            copying=self.copying,
-            out=self.out,
-            checks=checks,
-            counts=self.counts,
-            recorder=self.recorder,
-        )
-        self.return_path = return_path.ReturnPath(
-            members=self.members,
-            table=self.table,
-            book=self.book,
-            records=self.records,
-            witnesses=self.witnesses,
-            placing=self.placing,
-            out=self.out,
-            checks=checks,
-            counts=self.counts,
-            recorder=self.recorder,
+            state=state, placing=self.placing, copying=self.copying
         )
+        self.return_path = return_path.ReturnPath(state=state, placing=self.placing)
         self._sweeper = sweep.Sweeper(
-            members=self.members,
-            table=self.table,
-            book=self.book,
-            records=self.records,
-            witnesses=self.witnesses,
+            state=state,
             copying=self.copying,
             caller_path=self.caller_path,
             note_idle=self.gossip.note_idle,
@@ -179,6 +121,32 @@
         self._leave_started_s: float | None = None
         self._packet_s = now_s
 
+    def _make_state(
+        self, config: Config, places_locally: bool, now_s: float
+    ) -> core_state.CoreState:
+        counts = counters.Counters()
+        members = membership.Membership(own=config.own, now_s=now_s)
+        members.places_locally = places_locally
+        table = targets.TargetTable()
+        out = outbox.Outbox(
+            members=members,
+            table=table,
+            sealer=self._sealer,
+            fabric=config.fabric,
+            counts=counts,
+        )
+        return core_state.CoreState(
+            members=members,
+            table=table,
+            book=rulebook.RuleBook(),
+            records=flows.FlowTable(limit=config.flow_limit),
+            witnesses=flows.WitnessTable(limit=config.witness_limit),
+            out=out,
+            checks=invariants.Invariants(out=out, is_strict=config.is_strict),
+            counts=counts,
+            recorder=levels.LevelRecorder(wall_offset_s=config.wall_offset_s),
+        )
+
     def handle_packet(self, data: bytes, source_host: str, now_s: float) -> list[actions.Action]:
         """Steers a datagram from the packet socket.
 
--- a/zinniaspoke/gossip.py
+++ b/zinniaspoke/gossip.py
@@ -1,17 +1,14 @@
 """Heartbeats between entry VMs, and the spread of members, targets, leases and loads."""
 
-import random
 from collections.abc import Callable, Iterable
 
 from zinniaspoke import (
-    counters,
+    core_state,
     events,
     flows,
     loads,
     membership,
-    outbox,
     placer,
-    rulebook,
     targets,
 )
 from zinniaspoke.proto import peer_pb2
@@ -40,38 +37,25 @@
     def __init__(
         self,
         *,
-        members: membership.Membership,
-        table: targets.TargetTable,
-        book: rulebook.RuleBook,
-        table_of_flows: flows.FlowTable,
+        state: core_state.CoreState,
         placing: placer.Placer,
-        out: outbox.Outbox,
-        counts: counters.Counters,
         seeds: tuple[tuple[str, int], ...],
-        rng: random.Random,
     ) -> None:
         """Connects the gossip.
 
         Args:
-            members: The view of the group.
-            table: The targets.
-            book: The rules in force.
-            table_of_flows: The home's records, for load reports.
+            state: What the parts of the core share.
             placing: The placer, which takes load reports.
-            out: Where datagrams go.
-            counts: Counters to raise.
             seeds: Control endpoints of entry VMs to join.
-            rng: Seeded random source.
         """
-        self._members = members
-        self._table = table
-        self._book = book
-        self._flows = table_of_flows
+        self._members = state.members
+        self._table = state.table
+        self._book = state.book
+        self._flows = state.records
         self._placing = placing
-        self._out = out
-        self._counts = counts
+        self._out = state.out
+        self._counts = state.counts
         self._seeds = seeds
-        self._rng = rng
         self._renewed: dict[int, float] = {}
         self._heartbeat_s = -1e9
         self._load_s = -1e9
--- a/zinniaspoke/placer.py
+++ b/zinniaspoke/placer.py
@@ -1,22 +1,17 @@
 """The placer of a service: picks targets with exact counts, holds, retries and refuses."""
 
 import math
-import random
 
 import attrs
 
 from zinniaspoke import (
     copies,
-    counters,
+    core_state,
     ejection,
     errors,
     events,
     holding,
-    invariants,
-    levels,
     loads,
-    membership,
-    outbox,
     packets,
     placement,
     retry,
@@ -73,40 +68,27 @@
     def __init__(
         self,
         *,
-        members: membership.Membership,
-        table: targets.TargetTable,
+        state: core_state.CoreState,
         copying: copies.CopySender,
         policy: placement.Policy,
-        out: outbox.Outbox,
-        checks: invariants.Invariants,
-        counts: counters.Counters,
-        recorder: levels.LevelRecorder,
-        rng: random.Random,
         now_s: float,
     ) -> None:
         """Connects the placer.
 
         Args:
-            members: The view of the group.
-            table: The targets.
+            state: What the parts of the core share.
             copying: Sends copies of flows whose home is gone.
             policy: Chooses among them.
-            out: Where packets go.
-            checks: Promises to check.
-            counts: Counters to raise.
-            recorder: Counts service levels.
-            rng: Seeded random source.
             now_s: Current time.
         """
-        self._members = members
-        self._table = table
+        self._members = state.members
+        self._table = state.table
         self._copying = copying
         self._policy = policy
-        self._out = out
-        self._checks = checks
-        self._counts = counts
-        self._recorder = recorder
-        self._rng = rng
+        self._out = state.out
+        self._checks = state.checks
+        self._counts = state.counts
+        self._recorder = state.recorder
         self._budget = retry.RetryBudget(now_s=now_s)
         self._queues: dict[str, holding.HoldQueue] = {}
         self._placements: dict[bytes, Placement] = {}
@@ -218,17 +200,22 @@
         return ejection.keep_usable(below, now_s)
 
     def _choose(
-        self, packet: packets.Packet, rule: rules.Rule, avoid_tags: tuple[int, ...], now_s: float
+        self,
+        packet: packets.Packet,
+        service: str,
+        is_long: bool,
+        avoid_tags: tuple[int, ...],
+        now_s: float,
     ) -> targets.Target | errors.Nothing:
-        candidates = self._candidates(rule.service, now_s)
+        candidates = self._candidates(service, now_s)
         others = [c for c in candidates if c.state.target.tag not in avoid_tags]
         if not others:
             return errors.Nothing(reason="no_target")
         request = placement.Request(
             flow=packet.caller_flow,
-            is_long=rule.is_long,
+            is_long=is_long,
             now_s=now_s,
-            spare_count=self._spare_count(rule.service, candidates),
+            spare_count=self._spare_count(service, candidates),
         )
         return self._policy.choose(request, others)
 
@@ -249,7 +236,7 @@
 
     def _place(self, waiting: holding.Waiting, now_s: float) -> bool:
         packet, rule = waiting.packet, waiting.rule
-        target = self._choose(packet, rule, (), now_s)
+        target = self._choose(packet, rule.service, rule.is_long, (), now_s)
         if not target:
             return False
         placed = Placement(
@@ -307,23 +294,15 @@
         packet = placed.opening
         if packet.payload_bytes or placed.attempt_count >= retry.ATTEMPT_LIMIT:
             return False
-        rule_like = rules.Rule(
-            address=packet.destination,
-            port=int.from_bytes(packet.destination_port, "big"),
-            protocol=packet.protocol,
-            service=placed.target.service,
-            work_class="long" if placed.is_long else "short",
-            comment="retry",
-            line=0,
-        )
         avoid = (*placed.cancelled_tags, placed.target.tag)
-        target = self._choose(packet, rule_like, avoid, now_s)
+        service = placed.target.service
+        target = self._choose(packet, service, placed.is_long, avoid, now_s)
         if not target or not (is_free or self._budget.spend(now_s)):
             return False
         self._cancel(placed)
         placed.attempt_count += 1
         self._counts.events["retries"] += 1
-        self._give(placed, target, placed.target.service, now_s)
+        self._give(placed, target, service, now_s)
         return True
 
     def _cancel(self, placed: Placement) -> None:
--- a/zinniaspoke/sweep.py
+++ b/zinniaspoke/sweep.py
@@ -5,11 +5,9 @@
 from zinniaspoke import (
     caller_path,
     copies,
+    core_state,
     flows,
-    membership,
     placer,
-    rulebook,
-    targets,
 )
 
 SLICE_COUNT = 500
@@ -22,11 +20,7 @@
     def __init__(
         self,
         *,
-        members: membership.Membership,
-        table: targets.TargetTable,
-        book: rulebook.RuleBook,
-        records: flows.FlowTable,
-        witnesses: flows.WitnessTable,
+        state: core_state.CoreState,
         copying: copies.CopySender,
         caller_path: caller_path.CallerPath,
         note_idle: Callable[[dict[int, flows.TargetCount]], None],
@@ -34,20 +28,16 @@
         """Connects the sweeper.
 
         Args:
-            members: The view of the group.
-            table: The targets.
-            book: The rules in force.
-            records: The home's records.
-            witnesses: Takes the place of records whose home has moved.
+            state: What the parts of the core share.
             copying: Takes flows that too few others remember.
             caller_path: Resets flows that were idle for too long.
             note_idle: Takes the idle flows by target tag after each round.
         """
-        self._members = members
-        self._table = table
-        self._book = book
-        self._records = records
-        self._witnesses = witnesses
+        self._members = state.members
+        self._table = state.table
+        self._book = state.book
+        self._records = state.records
+        self._witnesses = state.witnesses
         self._copying = copying
         self._caller_path = caller_path
         self._note_idle = note_idle
