Give the openings of a lost placer to the next one; test UDP, IPv6 and idle expiry

Cause: with the placer killed at a crest, openings waited for their callers' own retransmission; UDP, IPv6 and idle expiry had not been run end to end; the demo's control bytes came from the VM's own counter. Change: openings.py keeps unanswered openings without payload at their homes; tests/test_protocols.py; the demo counts control bytes by a tap on the socket. The new test fails without the change.

--- a/zinniaspoke/caller_path.py
+++ b/zinniaspoke/caller_path.py
@@ -39,6 +39,7 @@
         self._book = state.book
         self._records = state.records
         self._witnesses = state.witnesses
+        self._unanswered = state.unanswered
         self._placing = placing
         self._copying = copying
         self._out = state.out
@@ -132,6 +133,7 @@
         if placer_id == self._own_id:
             self._placing.open(packet, rule, self._own_id, is_fresh, now_s)
             return
+        self._unanswered.note(packet, placer_id, now_s)
         steering = geneve.Steering(
             step=geneve.Step.PLACE,
             hop_count=1,
@@ -141,6 +143,17 @@
         )
         self._out.to_sibling(placer_id, packet.raw, steering)
 
+    def give_to_next_placer(self, present_ids: frozenset[int], now_s: float) -> None:
+        """Gives the openings of lost placers to those that follow them.
+
+        Args:
+            present_ids: Members that can be reached, and this VM.
+            now_s: Current time.
+        """
+        for packet in self._unanswered.take_lost(present_ids):
+            self._counts.events["openings_given_again"] += 1
+            self._to_placer(packet, packet.caller_flow, False, now_s)
+
     def place(self, packet: packets.Packet, steering: geneve.Steering, now_s: float) -> None:
         """Places an opening that its home passed to this VM as the placer.
 
@@ -279,8 +292,10 @@
         """Finds the target of a flow that this home does not know."""
         if self._adopt_own(packet, flow, now_s):
             return
-        if packet.flags & packets.RST and self._cancel_opening(packet, now_s):
-            return
+        if packet.flags & packets.RST:
+            self._unanswered.forget(flow)
+            if self._cancel_opening(packet, now_s):
+                return
         self._counts.events["flows_sought"] += 1
         self._seek(packet, flow, geneve.Steering(step=geneve.Step.SEEK, hop_count=0), now_s)
 
--- a/zinniaspoke/core_state.py
+++ b/zinniaspoke/core_state.py
@@ -8,6 +8,7 @@
     invariants,
     levels,
     membership,
+    openings,
     outbox,
     rulebook,
     targets,
@@ -24,6 +25,7 @@
         book: The rules in force.
         records: The home's records.
         witnesses: What was noted in passing.
+        unanswered: Openings that no target has answered yet.
         out: Collects actions.
         checks: Promises to check.
         counts: Counters to raise.
@@ -35,6 +37,7 @@
     book: rulebook.RuleBook
     records: flows.FlowTable
     witnesses: flows.WitnessTable
+    unanswered: openings.UnansweredOpenings
     out: outbox.Outbox
     checks: invariants.Invariants
     counts: counters.Counters
--- a/zinniaspoke/daemons/entry.py
+++ b/zinniaspoke/daemons/entry.py
@@ -51,8 +51,8 @@
         self._is_strict = is_strict
         self._tasks: list[asyncio.Task[None]] = []
         self._fetching: asyncio.Task[None] | None = None
-        self._packets: udp.UdpSocket | None = None
-        self._datagrams: udp.UdpSocket | None = None
+        self._packets: ports.DatagramPort | None = None
+        self.datagrams: ports.DatagramPort | None = None
         self._left = asyncio.Event()
         self._is_stopped = False
 
@@ -96,7 +96,7 @@
         self.core = entry.Entry(config=self._core_config(), rng=self._rng, now_s=self.now())
         self._metrics = metrics.Metrics(counts=self.core.counts, gauges=self._gauges())
         self._packets = await udp.open_socket(config.host, config.data_port, self._on_packet)
-        self._datagrams = await udp.open_socket(config.host, config.control_port, self._on_datagram)
+        self.datagrams = await udp.open_socket(config.host, config.control_port, self._on_datagram)
         self._session = aiohttp.ClientSession()
         self._control = rpc.ControlClient(
             replicas=config.control_replicas,
@@ -169,7 +169,7 @@
             if isinstance(action, actions.SendPacket):
                 self._packets.send(action.endpoint, action.data)
             elif isinstance(action, actions.SendControl):
-                self._datagrams.send(action.endpoint, action.data)
+                self.datagrams.send(action.endpoint, action.data)
             elif isinstance(action, actions.Log):
                 self._log.write(action.event, "entry", action.peer, action.detail)
             elif isinstance(action, actions.FetchRules):
@@ -247,7 +247,7 @@
         if self._fetching is not None:
             self._fetching.cancel()
         self._packets.close()
-        self._datagrams.close()
+        self.datagrams.close()
         await self._http.stop()
         await self._control.close()
         await self._session.close()
--- a/zinniaspoke/demo.py
+++ b/zinniaspoke/demo.py
@@ -39,7 +39,7 @@
         repeated: Requests that ran more than once.
         late_openings: Openings at a target that had been draining for seconds.
         imbalance: Largest over mean seconds of work run, over the targets that stood all the time.
-        control_bytes_per_s: Control bytes a second by entry VM, as the VM counted them.
+        control_bytes_per_s: Control bytes a second of the busiest entry VM, at its socket.
     """
 
     opened: int
@@ -225,7 +225,7 @@
 
     def _note_control_rate(self, daemon: entry.EntryDaemon) -> None:
         elapsed_s = daemon.now() - daemon.started_s
-        self._control_rates.append(daemon.core.counts.control_bytes_sent / elapsed_s)
+        self._control_rates.append(self._site.taps[daemon.config.name].sent_bytes / elapsed_s)
 
     async def _stop_entry(self, name: str) -> None:
         await self._site.entries[name].leave()
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -20,6 +20,7 @@
     invariants,
     levels,
     membership,
+    openings,
     outbox,
     packets,
     placement,
@@ -102,6 +103,7 @@
         self.witnesses = state.witnesses
         self.out = state.out
         self.recorder = state.recorder
+        self._unanswered = state.unanswered
         self.copying = copies.CopySender(state=state, now_s=now_s)
         self.placing = placer.Placer(state=state, copying=self.copying, policy=policy, now_s=now_s)
         self.gossip = gossip.Gossip(state=state, placing=self.placing, seeds=config.seeds)
@@ -141,6 +143,7 @@
             book=rulebook.RuleBook(),
             records=flows.FlowTable(limit=config.flow_limit),
             witnesses=flows.WitnessTable(limit=config.witness_limit),
+            unanswered=openings.UnansweredOpenings(),
             out=out,
             checks=invariants.Invariants(out=out, is_strict=config.is_strict),
             counts=counts,
@@ -330,6 +333,7 @@
         self.placing.tick(now_s, live_ids)
         self._sweeper.tick(now_s)
         self.recorder.tick(now_s)
+        self._unanswered.expire(now_s)
         self.copying.tick(now_s)
         self.witnesses.expire(now_s, WITNESS_SLICE_COUNT)
         for target in self.table.forget_expired(now_s):
@@ -351,6 +355,7 @@
         for service in self._placed_services - placed:
             self._hand_counts(service)
         self._placed_services = placed
+        self.caller_path.give_to_next_placer(live_ids, now_s)
 
     def _log_view(self) -> None:
         reachable = frozenset(self.members.reachable_ids)
--- a/zinniaspoke/return_path.py
+++ b/zinniaspoke/return_path.py
@@ -36,6 +36,7 @@
         self._book = state.book
         self._records = state.records
         self._witnesses = state.witnesses
+        self._unanswered = state.unanswered
         self._placing = placing
         self._out = state.out
         self._checks = state.checks
@@ -155,6 +156,7 @@
             witness_presences=(presence_of(placer_id), presence_of(relay_id)),
         )
         self._records.add(record)
+        self._unanswered.forget(flow)
         return record
 
     def _show(self, packet: packets.Packet, target: targets.Target, now_s: float) -> None:
--- a/zinniaspoke/standins/site.py
+++ b/zinniaspoke/standins/site.py
@@ -11,7 +11,7 @@
 from zinniaspoke.adapters import logs, rpc
 from zinniaspoke.daemons import control, entry
 from zinniaspoke.proto import control_pb2
-from zinniaspoke.standins import fabric
+from zinniaspoke.standins import fabric, tap
 
 REPLICA_COUNT = 3
 ENTRY_COUNT = 6
@@ -31,6 +31,7 @@
         net: The fabric.
         entries: Entry VMs by name.
         controls: Control replicas.
+        taps: Control bytes that each entry VM sent, counted at its socket.
     """
 
     def __init__(self, *, folder: str, services: Sequence[str], rng: random.Random) -> None:
@@ -47,6 +48,7 @@
         self.net = fabric.Fabric(rng=random.Random(rng.random()))
         self.entries: dict[str, entry.EntryDaemon] = {}
         self.controls: list[control.ControlDaemon] = []
+        self.taps: dict[str, tap.Tap] = {}
         self._folder.mkdir(parents=True, exist_ok=True)
         self._secrets_folder = str(self._folder / "secrets")
         secretfiles.create(self._secrets_folder, services)
@@ -152,6 +154,7 @@
             is_strict=True,
         )
         await daemon.start()
+        daemon.datagrams = self.taps[config.name] = tap.Tap(port=daemon.datagrams)
         self.entries[config.name] = daemon
         self.net.add(
             fabric.Route(host=config.host, data_port=config.data_port, http_port=config.http_port)
