Give a new process at an old address work only once it may take packets

Cause: a replacement announced itself ready while it still waited for the old lease to run out, so openings were placed on a process that did not listen yet. Change: the target table works out from when it is usable, as every VM knows it.

--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -94,4 +94,5 @@
     table.merge(fresh, 5.0)
     assert not table.is_vouched(known.target, 5.1)
     assert table.old_lease_left_s(fresh.target, 5.0) == 0.5
+    assert [fresh.takes_new_work(now_s) for now_s in (5.4, 5.6)] == [False, True]
     assert table.old_lease_left_s(fresh.target, 9.0) == 0.0
--- a/zinniaspoke/targets.py
+++ b/zinniaspoke/targets.py
@@ -76,6 +76,7 @@
         lease_s: How long a renewal holds.
         first_seen_s: When the group first heard of it, on this VM's clock.
         replaced_s: When a newer incarnation came.
+        usable_s: From when it may get work: packets of an older process may come until then.
         answered_s: When a packet that only its service sends last passed this VM.
         is_held: Whether an operator drains it, whatever it announces.
         held_at_ms: When the operator last set this, in milliseconds since 1970.
@@ -88,6 +89,7 @@
     lease_s: float = LEASE_GRACE_S
     first_seen_s: float = NEVER_S
     replaced_s: float = NEVER_S
+    usable_s: float = 0.0
     answered_s: float = -1e9
     is_held: bool = False
     held_at_ms: int = 0
@@ -123,7 +125,8 @@
             True while it is ready, its lease holds, and no newer process has its address.
         """
         is_leaving = self.is_draining or self.is_held or self.is_replaced
-        return not is_leaving and now_s - self.renewed_s < self.lease_s
+        is_usable = now_s >= self.usable_s and now_s - self.renewed_s < self.lease_s
+        return is_usable and not is_leaving
 
 
 @attrs.frozen(kw_only=True)
@@ -185,6 +188,7 @@
     def _add(self, state: TargetState, now_s: float) -> None:
         target = state.target
         state.first_seen_s = min(state.first_seen_s, now_s)
+        state.usable_s = now_s + self.old_lease_left_s(target, now_s)
         for other in self._by_address.get(target.address, []):
             if other.target.port != target.port:
                 continue
