Test key rotation, replay, tampered packets and callers that go away

Cause: these promises had code and no test. Change: tests/test_datagrams.py and a case in tests/test_faults.py.

--- /dev/null
+++ b/tests/test_datagrams.py
@@ -0,0 +1,64 @@
+"""Keyed hashes on datagrams and steered packets, replay, and two keys valid at once."""
+
+import pytest
+
+from zinniaspoke import datagrams, errors, geneve, packets
+from zinniaspoke.proto import peer_pb2
+
+OLD, NEW = b"old key of 16 by", b"new key of 16 by"
+
+
+def sealer(sender_id, *keys, incarnation=1):
+    return datagrams.Sealer(sender_id=sender_id, incarnation=incarnation, keys=keys)
+
+
+def heartbeat():
+    return peer_pb2.Datagram(heartbeat=peer_pb2.Heartbeat(state=2))
+
+
+def test_keys_are_changed_without_a_gap():
+    first, second = sealer(1, OLD), sealer(2, OLD)
+    assert second.open(first.seal(heartbeat()), "p").sender_id == 1
+    second.keys = (OLD, NEW)
+    first.keys = (NEW, OLD)
+    assert second.open(first.seal(heartbeat()), "p").sender_id == 1
+    assert first.open(second.seal(heartbeat()), "p").sender_id == 2
+    first.keys = second.keys = (NEW,)
+    assert second.open(first.seal(heartbeat()), "p").sender_id == 1
+    with pytest.raises(errors.DatagramError, match="signature"):
+        second.open(sealer(3, OLD).seal(heartbeat()), "p")
+
+
+def test_replays_and_earlier_incarnations_are_refused():
+    first, second = sealer(1, OLD), sealer(2, OLD)
+    data = [first.seal(heartbeat()) for _ in range(3)]
+    for index in (2, 0, 1):
+        second.open(data[index], "p")
+    for index in range(3):
+        with pytest.raises(errors.DatagramError, match="replay"):
+            second.open(data[index], "p")
+    late = sealer(1, OLD, incarnation=2)
+    second.open(late.seal(heartbeat()), "p")
+    with pytest.raises(errors.DatagramError, match="old_incarnation"):
+        second.open(first.seal(heartbeat()), "p")
+
+
+def test_steered_packet_is_genuine_whole_or_refused():
+    inner = packets.build_udp(
+        source=b"\1\1\1\1",
+        source_port=b"\0\1",
+        destination=b"\2\2\2\2",
+        destination_port=b"\0\2",
+    )
+    steering = geneve.Steering(
+        step=geneve.Step.SEEK, hop_count=3, origin_id=9, target_tag=7, visited_ids=(1, 2, 3)
+    )
+    data = geneve.encapsulate_steered(inner, steering, OLD)
+    assert geneve.decapsulate(data, (NEW, OLD)) == geneve.Frame(inner=inner, steering=steering)
+    for index in range(8, len(data)):
+        changed = data[:index] + bytes([data[index] ^ 1]) + data[index + 1 :]
+        try:
+            frame = geneve.decapsulate(changed, (OLD,))
+        except errors.PacketError:
+            continue
+        assert frame.steering is None
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -250,3 +250,17 @@
     assert net.tally.outcomes[flow].is_complete
     assert sum(n.core.counts.drops["cancelled_target"] for n in net.nodes.values()) >= 1
     assert net.callers._calls.get(flow) is None
+
+
+def test_opening_is_taken_back_when_its_caller_goes_away():
+    net = deployment.start(entry_count=3)
+    for host in net.hosts.values():
+        host.process.is_stalled = True
+    flow = deployment.open_flow(net)
+    deployment.run_for(net, 0.1)
+    core = net.nodes[deployment.placer_of(net, "carne-api")].core
+    assert core.placing.get(flow) is not None
+    net.callers._calls.pop(flow).connection.abort()
+    deployment.run_for(net, 0.1)
+    assert core.placing.get(flow) is None
+    assert all(load.open_count == 0 for load in core.placing.loads.values())
