Let a second flow a target wait beyond its slots, and none while long work is due

Cause: at crests openings still waited at the placer while slots were free for the length of a handshake. Change: six times the share of handshakes, up to two flows a target; long work that has waited half its time stops it.

--- a/zinniaspoke/holding.py
+++ b/zinniaspoke/holding.py
@@ -124,13 +124,20 @@
             The oldest of each class: short first, unless the long one's patience is used up.
         """
         found = [queue[0] for queue in (self._short, self._long) if queue]
-        if len(found) == 2 and self._is_impatient(found[1], now_s):
+        if self.is_long_impatient(now_s):
             found.reverse()
         return found
 
-    @staticmethod
-    def _is_impatient(waiting: Waiting, now_s: float) -> bool:
-        return now_s - waiting.since_s > LONG_PATIENCE_SHARE * waiting.rule.wait_s
+    def is_long_impatient(self, now_s: float) -> bool:
+        """Tells whether the oldest long opening has used up its patience.
+
+        Args:
+            now_s: Current time.
+        """
+        if not self._long:
+            return False
+        oldest = self._long[0]
+        return now_s - oldest.since_s > LONG_PATIENCE_SHARE * oldest.rule.wait_s
 
     def remove(self, waiting: Waiting) -> None:
         """Takes an opening out.
--- a/zinniaspoke/placement.py
+++ b/zinniaspoke/placement.py
@@ -12,6 +12,7 @@
 HOT_QUANTILE = 0.75
 COLD_COST = 0.4
 LONG_COST = 0.1
+BEYOND_LIMIT_COUNT = 2
 DEFAULT_POLICY = "reserved"
 
 _POLICIES: dict[str, type["Policy"]] = {}
@@ -215,11 +216,19 @@
         """See ``Policy.choose``."""
         free = [c for c in candidates if self._has_room(request, c, 0)]
         if not free and not request.is_long and self._has_spare(request, candidates):
-            free = [c for c in candidates if self._has_room(request, c, 1)]
+            free = self._first_beyond(request, candidates)
         if not free:
             return HOLD
         return _base_first(request, free, lambda c: self._cost(request, c))
 
+    def _first_beyond(self, request: Request, candidates: Sequence[Candidate]) -> list[Candidate]:
+        """Returns the targets that have the fewest flows beyond their slots, up to a limit."""
+        for beyond_count in range(1, 1 + BEYOND_LIMIT_COUNT):
+            found = [c for c in candidates if self._has_room(request, c, beyond_count)]
+            if found:
+                return found
+        return []
+
     @staticmethod
     def _has_spare(request: Request, candidates: Sequence[Candidate]) -> bool:
         """Tells whether another target may get one flow beyond its slots."""
--- a/zinniaspoke/placer.py
+++ b/zinniaspoke/placer.py
@@ -21,7 +21,7 @@
 
 LONG_AFTER_S = 0.5
 ROUND_TRIP_GAIN = 0.05
-SPARE_FACTOR = 3.0
+SPARE_FACTOR = 6.0
 REFUSAL_LOG_S = 1.0
 PLACEMENT_AGE_S = 900.0
 RECONCILE_S = 1.0
@@ -215,15 +215,20 @@
             flow=packet.caller_flow,
             is_long=is_long,
             now_s=now_s,
-            spare_count=self._spare_count(service, candidates),
+            spare_count=self._spare_count(service, candidates, now_s),
         )
         return self._policy.choose(request, others)
 
-    def _spare_count(self, service: str, candidates: list[placement.Candidate]) -> int:
+    def _spare_count(
+        self, service: str, candidates: list[placement.Candidate], now_s: float
+    ) -> int:
+        """Returns how many flows may go beyond the slots; none while long work is due."""
+        queue = self._queue(service)
+        if queue.is_long_impatient(now_s):
+            return 0
         slot_count = sum(c.load.target.slot_count for c in candidates)
-        share = self._queue(service).idle_share(self._caller_round_trip_s)
-        spare_count = math.ceil(SPARE_FACTOR * slot_count * share / (1.0 - share))
-        return min(len(candidates), spare_count)
+        share = queue.idle_share(self._caller_round_trip_s)
+        return math.ceil(SPARE_FACTOR * slot_count * share / (1.0 - share))
 
     def note_caller_round_trip(self, elapsed_s: float) -> None:
         """Notes the time between an answer to a caller and the caller's next packet.
