Assert that no flow gets a second target after payload

Cause: the promise was kept by construction and asserted nowhere; one check could not fail, since its caller had already tested the same thing. Change: adopting a flow and fixing a target by its first answer check the record that stands; the check that could not fail and an attribute that no one read are gone.

--- a/zinniaspoke/caller_path.py
+++ b/zinniaspoke/caller_path.py
@@ -345,6 +345,10 @@
         now_s: float,
     ) -> None:
         """Becomes the flow's home with a target that was recovered."""
+        known = self._records.get(flow)
+        is_same = known is None or known.is_closed or known.target.tag == target.tag
+        if not self._checks.holds(is_same, "never a second target after payload", flow):
+            return
         self._counts.events["flows_adopted"] += 1
         record = flows.Flow(
             key=flow,
--- a/zinniaspoke/gossip.py
+++ b/zinniaspoke/gossip.py
@@ -54,7 +54,6 @@
         self._flows = state.records
         self._placing = placing
         self._out = state.out
-        self._counts = state.counts
         self._seeds = seeds
         self._renewed: dict[int, float] = {}
         self._heartbeat_s = -1e9
--- a/zinniaspoke/return_path.py
+++ b/zinniaspoke/return_path.py
@@ -128,8 +128,7 @@
     ) -> None:
         """Drops an answer from another target than the flow's, and resets that target."""
         self._counts.drops["other_target"] += 1
-        is_safe = record.target.tag != target.tag
-        if packet.flags & packets.SYN and self._checks.holds(is_safe, "reset others", record.key):
+        if packet.flags & packets.SYN:
             self._out.to_target(target, packets.build_reset_reply(packet))
 
     def _fix_target(
@@ -155,7 +154,10 @@
             caller_acknowledgment=packet.next_sequence,
             witness_presences=(presence_of(placer_id), presence_of(relay_id)),
         )
-        self._records.add(record)
+        known = self._records.get(flow)
+        is_first = known is None or known.is_closed
+        if self._checks.holds(is_first, "only the first answer fixes a target", flow):
+            self._records.add(record)
         self._unanswered.forget(flow)
         return record
 
