Let the replica set grow, repair itself and outlive full disks and torn batches

Cause: the set was fixed by names, so a VM at a new address could never join, and a lost voter was replaced only at its old address. A log write of many entries that a power loss tore in the middle was taken for damage and ended the process. A failed append left bytes in the file.

Change: voters.Repair decides single changes (admit, promote, demote, drop); a replica without a leader asks again and is told the members; learners vote when a candidate names them; one append is one record; a doubtful file is rewritten before the next append; numbering is a registry.

--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -10,8 +10,10 @@
 
 
 class Cluster:
-    def __init__(self, *, count=3, seed=1):
-        self.names = NAMES[count]
+    def __init__(self, *, count=3, seed=1, joining=(), **membership):
+        self.founders = NAMES[count]
+        self.names = (*self.founders, *joining)
+        self.membership = membership
         self.rng = random.Random(seed)
         self.now_s = 0.0
         self.disks = {name: storage.MemoryStorage(rng=self.rng) for name in self.names}
@@ -35,10 +37,11 @@
             entries = log.Log(files=self.disks[name])
             self.cores[name] = control.Control(
                 name=name,
-                founders=self.names,
+                founders=self.founders,
                 entries=entries,
                 rng=self.rng,
                 now_s=self.time_of(name),
+                **self.membership,
             )
         except storage.Crash:
             self.crash(name)
@@ -97,6 +100,18 @@
         copies = 0 if self.rng.random() < self.loss else 1 + (self.rng.random() < self.repeat)
         self.in_flight.extend([message] * copies)
 
+    def add(self, name):
+        """Adds a VM with an empty disk."""
+        self.names = (*self.names, name)
+        self.clock_shift_s[name] = 0.0
+        self.highest[name] = 0
+        self.disks[name] = storage.MemoryStorage(rng=self.rng)
+        self.start(name)
+
+    def voter_names(self):
+        replica = self.cores[self.wait_leader()].replica
+        return sorted(consensus.name_of(voter) for voter in replica.replica_set.voters)
+
     def isolate(self, name):
         self.cut |= {frozenset((name, other)) for other in self.names if other != name}
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -18,10 +18,55 @@
 def filled(count=5):
     disk = storage.MemoryStorage(rng=random.Random(1))
     written = log.Log(files=disk)
-    written.append([entry(index, content=b"content " * 4) for index in range(1, count + 1)])
+    for index in range(1, count + 1):
+        written.append([entry(index, content=b"content " * 4)])
     return disk, written
 
 
+@given(st.integers(0, 300), st.integers(1, 300))
+def test_write_of_many_entries_with_a_hole_in_it_is_cut_whole(start, length):
+    """After a power loss any part of an unsynced write may be missing."""
+    disk, written = filled()
+    kept_bytes = len(disk.read(log.LOG))
+    written.append([entry(index, content=b"c" * 40) for index in range(6, 16)])
+    batch = bytearray(disk.read(log.LOG)[kept_bytes:])
+    end = min(start + length, len(batch))
+    if not any(batch[start:end]):
+        return
+    batch[start:end] = bytes(len(batch[start:end]))
+    disk.truncate(log.LOG, kept_bytes)
+    disk.append(log.LOG, bytes(batch))
+    disk.sync(log.LOG)
+    assert log.Log(files=disk).last_index == 5
+
+
+class FullDisk(storage.MemoryStorage):
+    """Takes half of each write and refuses the rest while it is full."""
+
+    is_full = False
+
+    def append(self, name, data):
+        if self.is_full:
+            super().append(name, data[: len(data) // 2])
+            raise errors.StorageError(step="append", peer=name, reason="no space left")
+        super().append(name, data)
+
+
+def test_append_that_failed_half_way_leaves_nothing_behind():
+    disk = FullDisk(rng=random.Random(1))
+    written = log.Log(files=disk)
+    written.append([entry(1)])
+    disk.is_full = True
+    for _ in range(3):
+        with pytest.raises(errors.StorageError):
+            written.append([entry(2, content=b"refused")])
+    assert written.last_index == 1
+    disk.is_full = False
+    written.append([entry(2, content=b"taken")])
+    again = log.Log(files=disk)
+    assert [e.rule_file.content for e in again.between(1, 9)] == [b"x", b"taken"]
+
+
 @given(st.integers(1, 60))
 def test_torn_tail_is_cut_and_the_log_goes_on(lost_bytes):
     disk, written = filled()
--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -11,15 +11,19 @@
 
 import attrs
 
-from zinniaspoke import errors, log
+from zinniaspoke import errors, log, voters
 from zinniaspoke.proto import control_pb2
 
 HEARTBEAT_S = 0.1
 ELECTION_LEAST_S = 0.5
 ELECTION_MOST_S = 1.0
 JOIN_S = 0.3
+# A replica without a leader for this long asks to join, in case it was left out of the set.
+FORGOTTEN_S = 2.0
 ENTRY_BATCH_COUNT = 64
 SNAPSHOT_AFTER_COUNT = 256
+# Entries of manifests are large; the log in memory stays below this.
+SNAPSHOT_AFTER_BYTES = 512 * 1024
 
 _HANDLERS: dict[str, Callable] = {}
 
@@ -78,13 +82,7 @@
     index: int
 
 
-def name_of(member: str) -> str:
-    """Returns the name in NAME/IDENTITY.
-
-    Args:
-        member: The member.
-    """
-    return member.partition("/")[0]
+name_of = voters.name_of
 
 
 class Replica:
@@ -109,18 +107,28 @@
         entries: log.Log,
         rng: random.Random,
         now_s: float,
+        voter_count: int = 0,
+        is_open: bool = False,
+        may_found: bool = True,
     ) -> None:
         """Starts from what the log holds.
 
         Args:
             name: This replica's name.
-            founders: Names of the replicas of the first set, this one included.
+            founders: Names of the replicas of the first set.
             entries: The log on storage.
             rng: Seeded random source.
             now_s: Current time.
+            voter_count: Voters that the set should have; 0 for as many as there are founders.
+            is_open: Whether replicas that are no founders may join.
+            may_found: Whether the first set may be made by this process.
         """
         self._name = name
         self._founders = founders
+        self._is_open = is_open
+        self._may_found = may_found
+        self.contacts: tuple[str, ...] = founders
+        self._learnt_names: set[str] = set()
         self._log = entries
         self._rng = rng
         self.member = f"{name}/{entries.identity}"
@@ -146,6 +154,7 @@
         self._set = control_pb2.ReplicaSet()
         self._set_index = 0
         self._find_set()
+        self._repair = voters.Repair(own=self.member, voter_count=voter_count or len(founders))
         self._become_follower(now_s)
 
     # Replica sets
@@ -184,8 +193,8 @@
         return [member for member in members if member != self.member]
 
     def _has_majority(self, members: set[str]) -> bool:
-        voters = self._set.voters
-        return sum(voter in members for voter in voters) * 2 > len(voters)
+        counted = self._set.voters
+        return sum(voter in members for voter in counted) * 2 > len(counted)
 
     # Time
 
@@ -195,7 +204,7 @@
         Args:
             now_s: Current time.
         """
-        if not self._set.voters or self.member not in (*self._set.voters, *self._set.learners):
+        if self._is_forgotten(now_s):
             self._ask_to_join(now_s)
         if self.role is Role.LEADER:
             self._lead(now_s)
@@ -214,13 +223,20 @@
 
     # First set and repaired replicas
 
+    def _is_forgotten(self, now_s: float) -> bool:
+        """Whether this replica is in no set, or may have been taken out while it was away."""
+        if self.member not in (*self._set.voters, *self._set.learners):
+            return True
+        is_led = self.role is Role.LEADER or now_s - self._heard_leader_s < FORGOTTEN_S
+        return self._is_open and not is_led
+
     def _ask_to_join(self, now_s: float) -> None:
         if now_s - self._join_s < JOIN_S:
             return
         self._join_s = now_s
-        for name in self._founders:
-            if name != self._name:
-                self._send(name, join_request=control_pb2.JoinRequest())
+        known = {name_of(member) for member in self._others()}
+        for name in sorted({*self.contacts, *known, *self._learnt_names} - {self._name}):
+            self._send(name, join_request=control_pb2.JoinRequest())
 
     @_handles("join_request")
     def _on_join_request(self, message: control_pb2.ReplicaMessage, now_s: float) -> None:
@@ -229,7 +245,9 @@
             self._offer_first_set(message.sender)
         if self.role is Role.LEADER and message.sender not in known:
             self._applicants[message.sender] = now_s
-        reply = control_pb2.JoinReply(is_empty=self._log.is_empty)
+        reply = control_pb2.JoinReply(
+            is_empty=self._log.is_empty, member_names=sorted({name_of(m) for m in known})
+        )
         self._send(message.sender, join_reply=reply)
 
     def _offer_first_set(self, member: str) -> None:
@@ -246,20 +264,22 @@
     @_handles("join_reply")
     def _on_join_reply(self, message: control_pb2.ReplicaMessage, now_s: float) -> None:
         name = name_of(message.sender)
+        if self._is_open:
+            self._learnt_names = set(message.join_reply.member_names)
         if not message.join_reply.is_empty:
             self._empty_members.pop(name, None)
             return
         self._empty_members[name] = message.sender
         others = [founder for founder in self._founders if founder != self._name]
-        is_first = self._name == min(self._founders)
+        is_first = self._may_found and self._name == min(self._founders)
         if is_first and self._log.is_empty and all(o in self._empty_members for o in others):
             self._found()
 
     def _found(self) -> None:
         """Writes the first set; only the first founder does, once all are there and empty."""
-        voters = [self.member, *self._empty_members.values()]
+        founding = [self.member, *self._empty_members.values()]
         snapshot = control_pb2.Snapshot(
-            last_index=1, replica_set=control_pb2.ReplicaSet(voters=sorted(voters))
+            last_index=1, replica_set=control_pb2.ReplicaSet(voters=sorted(founding))
         )
         self._adopt_snapshot(snapshot)
         for member in self._others():
@@ -327,8 +347,7 @@
         has_leader = now_s - self._heard_leader_s < ELECTION_LEAST_S or self.role is Role.LEADER
         if has_leader and not request.is_transfer:
             return
-        if not self.is_voter:
-            return
+        # A learner votes too: the candidate's set may name it a voter before it has learnt so.
         if not request.is_probe and message.term > self.term:
             self._enter_term(message.term, now_s)
         grants = self._may_vote(message)
@@ -420,7 +439,13 @@
     def _append(self, entry: control_pb2.LogEntry, now_s: float) -> int:
         entry.index = self._log.last_index + 1
         entry.term = self.term
-        self._log.append([entry])
+        try:
+            self._log.append([entry])
+        except errors.StorageError:
+            # A leader that cannot store makes room for one that can.
+            self.leader = ""
+            self._become_follower(now_s)
+            raise
         self._find_set()
         self._broadcast(now_s)
         self._advance_commit(now_s)
@@ -507,49 +532,35 @@
         self.committed.extend(self._log.between(self._applied_index + 1, index))
         self._applied_index = index
 
-    # Repair of a replica that lost its disk
+    # Repair of the replica set
 
     def _advance_repair(self, now_s: float) -> None:
-        """Admits a replica under its new identity: learner, old identity out, voter."""
+        """Proposes the next change of the set, once the one before is committed."""
         if self._set_index > self.commit_index:
             return
         if self._log.term_at(self.commit_index) != self.term:
             return
-        for learner in self._set.learners:
-            if self._promote(learner, now_s):
-                return
-        for applicant, asked_s in list(self._applicants.items()):
-            if now_s - asked_s > 3 * JOIN_S:
-                del self._applicants[applicant]
-            elif applicant not in (*self._set.voters, *self._set.learners):
-                self._admit_learner(applicant, now_s)
-                return
-
-    def _admit_learner(self, applicant: str, now_s: float) -> None:
-        if name_of(applicant) not in self._founders:
-            return
-        stale = [m for m in self._set.learners if name_of(m) == name_of(applicant)]
-        learners = [m for m in self._set.learners if m not in stale]
-        self._change_set(list(self._set.voters), [*learners, applicant], now_s)
-
-    def _promote(self, learner: str, now_s: float) -> bool:
-        progress = self._progress.get(learner)
-        is_live = progress is not None and now_s - progress.answered_s < ELECTION_MOST_S
-        if not is_live or progress.match_index < self.commit_index:
-            return False
-        voters = list(self._set.voters)
-        old = [v for v in voters if name_of(v) == name_of(learner)]
-        if old:
-            voters.remove(old[0])
-            self._change_set(voters, list(self._set.learners), now_s)
-        else:
-            learners = [m for m in self._set.learners if m != learner]
-            self._change_set([*voters, learner], learners, now_s)
-        return True
+        current = voters.Members(voters=tuple(self._set.voters), learners=tuple(self._set.learners))
+        standings = {
+            member: self._standing(progress, now_s) for member, progress in self._progress.items()
+        }
+        changed = self._repair.next_change(current, standings, self._waiting_applicants(now_s))
+        if changed is not None:
+            replica_set = control_pb2.ReplicaSet(voters=changed.voters, learners=changed.learners)
+            self._append(control_pb2.LogEntry(replica_set=replica_set), now_s)
+
+    def _standing(self, progress: Progress, now_s: float) -> voters.Standing:
+        silent_s = now_s - progress.answered_s
+        return voters.Standing(
+            silent_s=silent_s,
+            is_live=silent_s < ELECTION_MOST_S,
+            is_caught_up=progress.match_index >= self.commit_index,
+        )
 
-    def _change_set(self, voters: list[str], learners: list[str], now_s: float) -> None:
-        changed = control_pb2.ReplicaSet(voters=sorted(voters), learners=sorted(learners))
-        self._append(control_pb2.LogEntry(replica_set=changed), now_s)
+    def _waiting_applicants(self, now_s: float) -> list[str]:
+        fresh = {m: s for m, s in self._applicants.items() if now_s - s <= 3 * JOIN_S}
+        self._applicants = fresh
+        return [m for m in fresh if self._is_open or name_of(m) in self._founders]
 
     # Following
 
@@ -660,10 +671,10 @@
         Returns:
             Whether this replica leads and has someone to give it to.
         """
-        voters = [v for v in self._set.voters if v != self.member and v in self._progress]
-        if self.role is not Role.LEADER or not voters:
+        others = [v for v in self._set.voters if v != self.member and v in self._progress]
+        if self.role is not Role.LEADER or not others:
             return False
-        self._transfer_to = max(voters, key=lambda v: self._progress[v].match_index)
+        self._transfer_to = max(others, key=lambda v: self._progress[v].match_index)
         self._finish_transfer(now_s)
         return True
 
@@ -689,7 +700,9 @@
         Returns:
             Whether a snapshot was made.
         """
-        if self._applied_index - self._log.snapshot.last_index < SNAPSHOT_AFTER_COUNT:
+        applied_count = self._applied_index - self._log.snapshot.last_index
+        is_large = self._log.size_bytes >= SNAPSHOT_AFTER_BYTES and applied_count > 0
+        if applied_count < SNAPSHOT_AFTER_COUNT and not is_large:
             return False
         snapshot = control_pb2.Snapshot(
             last_index=self._applied_index,
--- a/zinniaspoke/control.py
+++ b/zinniaspoke/control.py
@@ -40,8 +40,10 @@
 
 @attrs.define(kw_only=True, slots=True)
 class _Submission:
+    """A call that waits for its answer; ``file`` is None for a read."""
+
     ticket: int
-    file: control_pb2.RuleFile
+    file: control_pb2.RuleFile | None
     deadline_s: float
     index: int = 0
     term: int = 0
@@ -59,6 +61,8 @@
         entries: log.Log,
         rng: random.Random,
         now_s: float,
+        numbering: str = submissions.DEFAULT_NUMBERING,
+        **membership: object,
     ) -> None:
         """Starts from what the log holds.
 
@@ -68,11 +72,13 @@
             entries: The log on storage.
             rng: Seeded random source.
             now_s: Current time.
+            numbering: Which numbers are accepted, see ``submissions.RuleHistory``.
+            **membership: See ``consensus.Replica``.
         """
         self.replica = consensus.Replica(
-            name=name, founders=founders, entries=entries, rng=rng, now_s=now_s
+            name=name, founders=founders, entries=entries, rng=rng, now_s=now_s, **membership
         )
-        self.history = submissions.RuleHistory()
+        self.history = submissions.RuleHistory(numbering=numbering)
         self.history.load(entries.snapshot)
         self._submissions: list[_Submission] = []
         self._next_ticket = 0
@@ -100,22 +106,38 @@
         taken, self._notices = self._notices, []
         return taken
 
-    def submit(self, number: int, content: bytes, now_s: float) -> int:
+    def _open(self, file: control_pb2.RuleFile | None, now_s: float) -> _Submission:
+        self._next_ticket += 1
+        return _Submission(ticket=self._next_ticket, file=file, deadline_s=now_s + SUBMIT_LIMIT_S)
+
+    def read(self, now_s: float) -> int:
+        """Asks for a confirmation that ``history.current`` is the newest accepted file.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            A ticket under which the answer comes: yes where it was confirmed.
+        """
+        read = self._open(None, now_s)
+        self._submissions.append(read)
+        self._advance(now_s)
+        return read.ticket
+
+    def submit(self, number: int, content: bytes, now_s: float, source: bytes = b"") -> int:
         """Takes a submission.
 
         Args:
             number: The rule file's number.
             content: Its bytes.
             now_s: Current time.
+            source: What the rules were compiled from, kept beside them.
 
         Returns:
             A ticket under which the answer comes.
         """
-        self._next_ticket += 1
-        file = control_pb2.RuleFile(number=number, content=content)
-        submission = _Submission(
-            ticket=self._next_ticket, file=file, deadline_s=now_s + SUBMIT_LIMIT_S
-        )
+        file = control_pb2.RuleFile(number=number, content=content, source=source)
+        submission = self._open(file, now_s)
         try:
             rules.parse(number, content)
         except errors.RuleError as error:
@@ -135,7 +157,7 @@
         self._answers.append(Answer(ticket=submission.ticket, reply=reply))
         if submission in self._submissions:
             self._submissions.remove(submission)
-        if outcome == control_pb2.SUBMIT_OUTCOME_NOT_LEADER:
+        if outcome == control_pb2.SUBMIT_OUTCOME_NOT_LEADER or submission.file is None:
             return
         is_yes = outcome == control_pb2.SUBMIT_OUTCOME_YES
         event = events.RULE_FILE_ACCEPTED if is_yes else events.RULE_FILE_REJECTED
@@ -218,6 +240,9 @@
             if submission.index or submission.is_reading:
                 self._check_leads(submission)
                 continue
+            if submission.file is None:
+                self._start_read(submission, now_s)
+                continue
             finding = self.history.judge(submission.file.number, submission.file.content)
             if finding.verdict is not submissions.Verdict.ACCEPTED:
                 self._start_read(submission, now_s)
@@ -249,6 +274,9 @@
         tickets, self.replica.confirmed = self.replica.confirmed, []
         for submission in [s for s in self._submissions if s.ticket in tickets]:
             submission.is_reading = False
+            if submission.file is None:
+                self._answer(submission, control_pb2.SUBMIT_OUTCOME_YES, "confirmed")
+                continue
             finding = self.history.judge(submission.file.number, submission.file.content)
             if finding.verdict is not submissions.Verdict.ACCEPTED:
                 self._conclude(submission, finding)
--- a/zinniaspoke/log.py
+++ b/zinniaspoke/log.py
@@ -1,6 +1,6 @@
 """The replicated log on storage: checksummed records, a snapshot and the hard state."""
 
-import secrets
+import os
 import struct
 
 import attrs
@@ -13,6 +13,7 @@
 STATE = "state"
 SNAPSHOT = "snapshot"
 IDENTITY = "identity"
+IDENTITY_BYTES = 4
 RECORD_LIMIT_BYTES = 64 * 1024 * 1024
 _HEADER = struct.Struct("!II")
 
@@ -30,6 +31,11 @@
     return _HEADER.pack(len(payload), crc32c.crc32c(length + payload)) + payload
 
 
+def _encode_batch(entries: list[control_pb2.LogEntry]) -> bytes:
+    """Frames entries as one record, so that a torn write leaves all of them or none."""
+    return encode_record(control_pb2.LogBatch(entries=entries).SerializeToString())
+
+
 def _decode_record(data: bytes, offset: int) -> bytes | errors.Nothing:
     """Reads the record at an offset, or tells why there is none."""
     if offset + _HEADER.size > len(data):
@@ -83,7 +89,7 @@
     while offset < len(data):
         payload = _decode_record(data, offset)
         if payload is None or isinstance(payload, errors.Nothing):
-            if payload.reason == "checksum" or _has_record_after(data, offset):
+            if _has_record_after(data, offset):
                 raise _corruption(name, offset, "damaged record")
             break
         offset += _HEADER.size + len(payload)
@@ -111,6 +117,8 @@
             errors.CorruptionError: Stored bytes are damaged.
         """
         self._files = files
+        # Set while the file may hold bytes that are not in memory, after a write that failed.
+        self._is_doubtful = False
         self.identity = self._read_identity()
         self.state = control_pb2.HardState.FromString(self._read_single(STATE))
         self.snapshot = control_pb2.Snapshot.FromString(self._read_single(SNAPSHOT))
@@ -122,7 +130,7 @@
         stored = self._files.read(IDENTITY)
         if stored is not storage.MISSING:
             return self._decode_single(IDENTITY, stored).decode()
-        identity = secrets.token_hex(4)
+        identity = os.urandom(IDENTITY_BYTES).hex()
         self._files.replace(IDENTITY, encode_record(identity.encode()))
         return identity
 
@@ -148,7 +156,12 @@
         if size_bytes < len(stored):
             self._files.truncate(LOG, size_bytes)
             self._files.sync(LOG)
-        entries = [control_pb2.LogEntry.FromString(payload) for payload in tail.payloads]
+        entries: list[control_pb2.LogEntry] = []
+        ends: list[int] = []
+        for payload, end in zip(tail.payloads, tail.ends, strict=True):
+            batch = control_pb2.LogBatch.FromString(payload).entries
+            entries.extend(batch)
+            ends.extend([end] * len(batch))
         kept = self._after_snapshot(entries)
         for entry in kept:
             if entry.index != self.last_index + 1:
@@ -158,7 +171,7 @@
         if len(kept) < len(entries):
             self._rewrite()
         else:
-            self._ends = tail.ends
+            self._ends = ends
 
     def _after_snapshot(self, entries: list[control_pb2.LogEntry]) -> list[control_pb2.LogEntry]:
         """Leaves out what the snapshot covers, and a tail that does not continue it."""
@@ -170,13 +183,11 @@
 
     def _rewrite(self) -> None:
         """Writes the log anew with the entries that are kept."""
-        records = [encode_record(entry.SerializeToString()) for entry in self._entries]
-        self._files.replace(LOG, b"".join(records))
-        self._ends = []
-        end = 0
-        for record in records:
-            end += len(record)
-            self._ends.append(end)
+        self._is_doubtful = True
+        record = _encode_batch(self._entries) if self._entries else b""
+        self._files.replace(LOG, record)
+        self._is_doubtful = False
+        self._ends = [len(record)] * len(self._entries)
 
     @property
     def is_empty(self) -> bool:
@@ -188,6 +199,11 @@
         """Whether there is a snapshot."""
         return bool(self.snapshot.replica_set.voters)
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the entries after the snapshot."""
+        return self._ends[-1] if self._ends else 0
+
     @property
     def last_index(self) -> int:
         """Index of the last entry."""
@@ -243,14 +259,16 @@
         """
         if not entries:
             return
-        records = [encode_record(entry.SerializeToString()) for entry in entries]
-        self._files.append(LOG, b"".join(records))
+        if self._is_doubtful:
+            self._rewrite()
+        record = _encode_batch(entries)
+        end = self.size_bytes + len(record)
+        self._is_doubtful = True
+        self._files.append(LOG, record)
         self._files.sync(LOG)
-        end = self._ends[-1] if self._ends else 0
-        for entry, record in zip(entries, records, strict=True):
-            end += len(record)
-            self._entries.append(entry)
-            self._ends.append(end)
+        self._is_doubtful = False
+        self._entries.extend(entries)
+        self._ends.extend([end] * len(entries))
 
     def truncate_from(self, index: int) -> None:
         """Drops an entry and all after it.
@@ -259,11 +277,9 @@
             index: The entry's index, after the snapshot.
         """
         offset = index - self.snapshot.last_index - 1
-        size_bytes = self._ends[offset - 1] if offset else 0
-        self._files.truncate(LOG, size_bytes)
-        self._files.sync(LOG)
         del self._entries[offset:]
         del self._ends[offset:]
+        self._rewrite()
 
     def install(self, snapshot: control_pb2.Snapshot) -> None:
         """Puts a snapshot in place of the entries that it covers.
@@ -276,4 +292,6 @@
         self._files.replace(SNAPSHOT, encode_record(snapshot.SerializeToString()))
         self.snapshot = snapshot
         self._entries = list(tail)
+        # Offsets of the old file say nothing about the new entries.
+        self._ends = [0] * len(tail)
         self._rewrite()
--- a/zinniaspoke/submissions.py
+++ b/zinniaspoke/submissions.py
@@ -1,13 +1,15 @@
 """The state that control replicas agree on: accepted rule files in the order of their numbers."""
 
 import enum
-import hashlib
+from collections.abc import Callable
 
 import attrs
+import xxhash
 
 from zinniaspoke.proto import control_pb2
 
 DIGEST_COUNT = 256
+DEFAULT_NUMBERING = "successive"
 
 
 class Verdict(enum.Enum):
@@ -17,9 +19,13 @@
     REPEATED = "repeated"
     OTHER_BYTES = "other bytes"
     OLD = "old"
+    OVERTAKEN = "overtaken"
     GAP = "gap"
 
 
+_SETTLED = (Verdict.ACCEPTED, Verdict.REPEATED, Verdict.OVERTAKEN)
+
+
 @attrs.frozen(kw_only=True)
 class Finding:
     """A verdict with its words for the operator.
@@ -35,7 +41,7 @@
     @property
     def is_yes(self) -> bool:
         """Whether the operator is told yes."""
-        return self.verdict in (Verdict.ACCEPTED, Verdict.REPEATED)
+        return self.verdict in _SETTLED
 
 
 def digest(content: bytes) -> bytes:
@@ -47,14 +53,61 @@
     Returns:
         A digest of 16 bytes.
     """
-    return hashlib.blake2b(content, digest_size=16).digest()
+    return xxhash.xxh3_128_digest(content)
+
+
+_NUMBERINGS: dict[str, Callable[["RuleHistory", int, bytes], Finding]] = {}
+
+
+def _numbering(name: str) -> Callable:
+    """Registers a rule of numbering under its name for the settings."""
+
+    def register(judge: Callable) -> Callable:
+        _NUMBERINGS[name] = judge
+        return judge
+
+    return register
+
+
+@_numbering("successive")
+def _judge_successive(history: "RuleHistory", number: int, content: bytes) -> Finding:
+    """Number n is accepted only after n-1, so that two operators cannot both win."""
+    in_force = f"number {history.number} is in force"
+    if number == history.number + 1:
+        return Finding(verdict=Verdict.ACCEPTED, reason=f"number {number} is accepted")
+    if number > history.number + 1:
+        reason = f"{in_force}, the next number is {history.number + 1}"
+        return Finding(verdict=Verdict.GAP, reason=reason)
+    known = history.digest_of(number)
+    if known is None:
+        return Finding(verdict=Verdict.OLD, reason=f"number {number} is too old: {in_force}")
+    if known == digest(content):
+        reason = f"number {number} was accepted with these bytes"
+        return Finding(verdict=Verdict.REPEATED, reason=reason)
+    reason = f"number {number} was accepted with other bytes: {in_force}"
+    return Finding(verdict=Verdict.OTHER_BYTES, reason=reason)
+
+
+@_numbering("highest")
+def _judge_highest(history: "RuleHistory", number: int, content: bytes) -> Finding:
+    """Any higher number is accepted; a lower or equal one is settled and changes nothing."""
+    del content
+    if number > history.number:
+        return Finding(verdict=Verdict.ACCEPTED, reason=f"number {number} is accepted")
+    reason = f"nothing changes: number {history.number} is in force"
+    return Finding(verdict=Verdict.OVERTAKEN, reason=reason)
 
 
 class RuleHistory:
     """The accepted rule file and the digests of those before it."""
 
-    def __init__(self) -> None:
-        """Starts before the first file."""
+    def __init__(self, *, numbering: str = DEFAULT_NUMBERING) -> None:
+        """Starts before the first file.
+
+        Args:
+            numbering: Which numbers are accepted: ``successive`` or ``highest``.
+        """
+        self._judge = _NUMBERINGS[numbering]
         self.current = control_pb2.RuleFile()
         self._digests: dict[int, bytes] = {}
 
@@ -73,20 +126,15 @@
         Returns:
             The finding.
         """
-        in_force = f"number {self.number} is in force"
-        if number == self.number + 1:
-            return Finding(verdict=Verdict.ACCEPTED, reason=f"number {number} is accepted")
-        if number > self.number + 1:
-            reason = f"{in_force}, the next number is {self.number + 1}"
-            return Finding(verdict=Verdict.GAP, reason=reason)
-        known = self._digests.get(number)
-        if known is None:
-            return Finding(verdict=Verdict.OLD, reason=f"number {number} is too old: {in_force}")
-        if known == digest(content):
-            reason = f"number {number} was accepted with these bytes"
-            return Finding(verdict=Verdict.REPEATED, reason=reason)
-        reason = f"number {number} was accepted with other bytes: {in_force}"
-        return Finding(verdict=Verdict.OTHER_BYTES, reason=reason)
+        return self._judge(self, number, content)
+
+    def digest_of(self, number: int) -> bytes | None:
+        """Returns the digest of a file accepted lately, or None.
+
+        Args:
+            number: The file's number.
+        """
+        return self._digests.get(number)
 
     def apply(self, file: control_pb2.RuleFile) -> Finding:
         """Applies a committed submission.
