--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -144,7 +144,7 @@
 
 
 class OpenAgreement(stateful.RuleBasedStateMachine):
-    """VMs come, go for good and lose disks, one loss at a time; the cluster asserts its promises."""
+    """VMs come, go for good and lose disks, one loss at a time."""
 
     @stateful.initialize(seed=st.integers(0, 10_000))
     def found(self, seed):
--- /dev/null
+++ b/zinniaspoke/choosing.py
@@ -0,0 +1,144 @@
+"""Placement policies of an entry VM that counts on its own: which target a new flow gets."""
+
+import random
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from zinniaspoke import roster
+
+DEFAULT_POLICY = "least_open"
+# Openings in a row without an answer; one alone may be a lost packet.
+FAILURE_LIMIT = 2
+# Time without new flows after that; doubled with each further failure.
+SUSPICION_S = 1.0
+SUSPICION_MOST_S = 4.0
+# A target that has just started works more slowly; one open flow weighs as much as this many.
+COLD_FACTOR = 1.6
+
+
+@attrs.define(kw_only=True, slots=True, eq=False)
+class Load:
+    """What this VM sees of one target.
+
+    Attributes:
+        target: Which target.
+        open_count: Flows placed from here that are not known to have ended.
+        placed_s: When it was last given a flow.
+        failure_count: Openings in a row without an answer.
+        suspected_until_s: No new flows before, while others can take them.
+        is_near: Whether it is in this VM's availability zone.
+    """
+
+    target: roster.Target
+    open_count: int = 0
+    placed_s: float = -1e9
+    failure_count: int = 0
+    suspected_until_s: float = -1e9
+    is_near: bool = False
+
+    def note_failure(self, now_s: float) -> bool:
+        """Counts an opening without an answer.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            Whether the target is suspected now and was not before.
+        """
+        self.failure_count += 1
+        if self.failure_count < FAILURE_LIMIT:
+            return False
+        was_suspected = now_s < self.suspected_until_s
+        exponent = min(self.failure_count - FAILURE_LIMIT, 4)
+        length_s = min(SUSPICION_S * 2**exponent, SUSPICION_MOST_S)
+        self.suspected_until_s = now_s + length_s
+        return not was_suspected
+
+    def note_answer(self) -> None:
+        """An opening was answered."""
+        self.failure_count = 0
+        self.suspected_until_s = -1e9
+
+    def is_usable(self, now_s: float) -> bool:
+        """Whether new flows may go there; one at a time while it still has to prove itself.
+
+        Args:
+            now_s: Current time.
+        """
+        if self.failure_count < FAILURE_LIMIT:
+            return True
+        return now_s >= self.suspected_until_s and now_s - self.placed_s > SUSPICION_S
+
+
+Policy = Callable[[Sequence[Load], float], Load]
+_POLICIES: dict[str, Callable[[random.Random], Policy]] = {}
+
+
+def register(name: str) -> Callable:
+    """Registers a policy under a name for the settings.
+
+    Args:
+        name: The policy's name.
+    """
+
+    def add(make: Callable[[random.Random], Policy]) -> Callable[[random.Random], Policy]:
+        _POLICIES[name] = make
+        return make
+
+    return add
+
+
+def create(name: str, rng: random.Random) -> Policy:
+    """Creates a policy.
+
+    Args:
+        name: Its name.
+        rng: Seeded random source.
+
+    Returns:
+        A function that picks one of at least one load.
+    """
+    return _POLICIES[name](rng)
+
+
+def usable(loads: Sequence[Load], now_s: float) -> Sequence[Load]:
+    """Leaves out suspected targets, unless that leaves none.
+
+    Args:
+        loads: Targets that take new work.
+        now_s: Current time.
+    """
+    return [load for load in loads if load.is_usable(now_s)] or loads
+
+
+@register("random")
+def _make_random(rng: random.Random) -> Policy:
+    """Any target with equal chance."""
+
+    def choose(loads: Sequence[Load], now_s: float) -> Load:
+        return rng.choice(usable(loads, now_s))
+
+    return choose
+
+
+@register("least_open")
+def _make_least_open(rng: random.Random) -> Policy:
+    """Join the shortest queue; among equals, whoever waited longest for work."""
+
+    def choose(loads: Sequence[Load], now_s: float) -> Load:
+        best, best_cost = [], float("inf")
+        for load in usable(loads, now_s):
+            cost = float(load.open_count + 1)
+            if now_s < load.target.warm_at_s:
+                cost *= COLD_FACTOR
+            if cost < best_cost:
+                best, best_cost = [load], cost
+            elif cost == best_cost:
+                best.append(load)
+        if len(best) == 1:
+            return best[0]
+        sampled = rng.sample(best, 2) if len(best) > 2 else best
+        return min(sampled, key=lambda load: load.placed_s)
+
+    return choose
--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -188,6 +188,24 @@
         """Whether this replica is a voter of the newest set."""
         return self.member in self._set.voters
 
+    def is_led(self, now_s: float) -> bool:
+        """Whether a leader with a majority was heard of lately.
+
+        Args:
+            now_s: Current time.
+        """
+        if self.role is Role.LEADER:
+            return self._is_heard_by_majority(now_s)
+        return now_s - self._heard_leader_s < ELECTION_MOST_S
+
+    def _is_heard_by_majority(self, now_s: float) -> bool:
+        heard = {m for m, p in self._progress.items() if now_s - p.answered_s < ELECTION_MOST_S}
+        return self._has_majority(heard | {self.member})
+
+    def member_names(self) -> set[str]:
+        """Returns the names of all members of the newest set."""
+        return {name_of(member) for member in (*self._set.voters, *self._set.learners)}
+
     def _others(self) -> list[str]:
         members = [*self._set.voters, *self._set.learners]
         return [member for member in members if member != self.member]
@@ -403,8 +421,7 @@
     # Leading
 
     def _lead(self, now_s: float) -> None:
-        heard = {m for m, p in self._progress.items() if now_s - p.answered_s < ELECTION_MOST_S}
-        if not self._has_majority(heard | {self.member}):
+        if not self._is_heard_by_majority(now_s):
             self.leader = ""
             self._become_follower(now_s)
             return
--- /dev/null
+++ b/zinniaspoke/coordinator.py
@@ -0,0 +1,212 @@
+"""A control VM that agrees on rules, keeps the roster of targets and feeds followers."""
+
+import attrs
+
+from zinniaspoke import control, errors, events, feed, roster
+
+# Followers take a control VM that is silent for three of these to be lost.
+HEARTBEAT_S = 0.4
+# Announcements that change nothing are passed on together.
+GOSSIP_S = 0.3
+# After a start, targets have announced themselves within this many intervals.
+COMPLETE_INTERVALS = 2
+
+
+@attrs.define(kw_only=True, slots=True)
+class Follower:
+    """What a follower has been told.
+
+    Attributes:
+        revision: The roster's revision that it has.
+        number: The rule file that it has.
+        told_s: When it was last told anything.
+    """
+
+    revision: int = 0
+    number: int = 0
+    told_s: float = -1e9
+
+
+class Coordinator:
+    """Decisions of a control VM beside the agreement, without sockets or clocks."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        core: control.Control,
+        targets: roster.Roster,
+        announcement_interval_s: float,
+        now_s: float,
+    ) -> None:
+        """Starts with an empty roster.
+
+        Args:
+            name: This VM's name, HOST:PORT.
+            core: The agreement.
+            targets: The roster.
+            announcement_interval_s: How often targets announce themselves.
+            now_s: Current time.
+        """
+        self.name = name
+        self.core = core
+        self.targets = targets
+        self._complete_at_s = now_s + COMPLETE_INTERVALS * announcement_interval_s
+        self._is_complete = False
+        self._fresh: set[str] = set()
+        self._gossiped_s = now_s
+        self._gossiped_revision = 0
+        self._replica_set = ""
+        self.notices: list[control.Notice] = []
+
+    def _note(self, event: events.Event, peer: str, detail: str) -> None:
+        self.notices.append(control.Notice(event=event, peer=peer, detail=detail))
+
+    # Targets
+
+    def announce(self, target: roster.Target, now_s: float) -> None:
+        """Takes an announcement that arrived here.
+
+        Args:
+            target: The target.
+            now_s: Current time.
+        """
+        taken = self.targets.take(target, now_s, now_s)
+        if taken is not roster.STALE:
+            self._fresh.add(target.identity)
+            self._tell_change(taken, "announced here")
+
+    def _tell_change(self, entry: roster.Entry, how: str) -> None:
+        if entry.revision != self.targets.revision:
+            return
+        target = entry.target
+        event = events.TARGET_CHANGED if target.state else events.TARGET_ANNOUNCED
+        detail = f"{how}: {target.state.name.lower()} {target.service} sequence {target.sequence}"
+        self._note(event, f"{target.identity}/{target.born_ms}", detail)
+
+    def end(self, identity: str, now_s: float) -> None:
+        """Takes a target's last word that arrived here.
+
+        Args:
+            identity: The target's name.
+            now_s: Current time.
+        """
+        entry = self.targets.end(identity, now_s)
+        if isinstance(entry, errors.Nothing):
+            return
+        self._fresh.add(identity)
+        self._note(events.TARGET_ENDED, identity, entry.target.service)
+
+    def has_urgent_gossip(self) -> bool:
+        """Whether something changed that other control VMs must hear of at once."""
+        return any(
+            entry.revision > self._gossiped_revision
+            for identity in self._fresh
+            if (entry := self.targets.find(identity)) is not None
+        )
+
+    def take_gossip(self, now_s: float) -> feed.Update | None:
+        """Returns what was heard here since the last time, where it is due.
+
+        Args:
+            now_s: Current time.
+        """
+        is_due = now_s - self._gossiped_s >= GOSSIP_S
+        if not self._fresh or not (is_due or self.has_urgent_gossip()):
+            return None
+        entries = [e for i in self._fresh if (e := self.targets.find(i)) is not None]
+        self._fresh = set()
+        self._gossiped_s = now_s
+        self._gossiped_revision = self.targets.revision
+        return feed.Update(
+            sightings=feed.sight_all(entries, now_s), is_complete=self.is_complete(now_s)
+        )
+
+    def whole_table(self, now_s: float) -> feed.Update:
+        """Returns all that is known of targets, for another control VM.
+
+        Args:
+            now_s: Current time.
+        """
+        return feed.Update(
+            sightings=feed.sight_all(self.targets.entries(), now_s),
+            is_complete=self.is_complete(now_s),
+        )
+
+    def receive_gossip(self, update: feed.Update, now_s: float) -> None:
+        """Takes what another control VM heard.
+
+        Args:
+            update: The update.
+            now_s: Current time.
+        """
+        for sighting in update.sightings:
+            taken = self.targets.take(sighting.target, now_s - sighting.age_s, now_s)
+            if taken is not roster.STALE:
+                self._tell_change(taken, "heard elsewhere")
+        if update.is_complete:
+            self._complete("told by another control VM")
+
+    def is_complete(self, now_s: float) -> bool:
+        """Whether this VM knows all targets that may hold flows.
+
+        Args:
+            now_s: Current time.
+        """
+        if not self._is_complete and now_s >= self._complete_at_s:
+            self._complete("all targets had time to announce themselves")
+        return self._is_complete
+
+    def _complete(self, why: str) -> None:
+        if not self._is_complete:
+            self._is_complete = True
+            self._note(events.TABLE_COMPLETE, self.name, f"{why}: {len(self.targets)} targets")
+
+    # Followers
+
+    def controls(self) -> tuple[str, ...]:
+        """Returns the names of the control VMs that are known, this one included."""
+        replica = self.core.replica
+        return tuple(sorted({self.name, *replica.contacts, *replica.member_names()}))
+
+    def update_for(self, follower: Follower, now_s: float) -> feed.Update | None:
+        """Returns what a follower has to be told now, or None.
+
+        Args:
+            follower: What it has been told; changed by this call.
+            now_s: Current time.
+        """
+        rules = self.core.history.current
+        has_changed = follower.revision < self.targets.revision or follower.number < rules.number
+        if not has_changed and now_s - follower.told_s < HEARTBEAT_S:
+            return None
+        entries = self.targets.changed_since(follower.revision)
+        content = rules.content if follower.number < rules.number else None
+        follower.revision = self.targets.revision
+        follower.number = max(follower.number, rules.number)
+        follower.told_s = now_s
+        return feed.Update(
+            sightings=feed.sight_all(entries, now_s),
+            controls=self.controls(),
+            number=rules.number,
+            content=content,
+            is_current=self.core.replica.is_led(now_s),
+            is_complete=self.is_complete(now_s),
+        )
+
+    def tick(self, now_s: float) -> None:
+        """Does what is due.
+
+        Args:
+            now_s: Current time.
+        """
+        for entry in self.targets.tick(now_s):
+            if entry.target.state is not roster.State.ENDED:
+                silence_s = now_s - entry.heard_s
+                detail = f"{entry.target.service}, not heard for {silence_s:.1f} s"
+                self._note(events.TARGET_SILENT, entry.target.identity, detail)
+        replica_set = self.core.replica.replica_set
+        told = f"voters {','.join(replica_set.voters)} learners {','.join(replica_set.learners)}"
+        if told != self._replica_set:
+            self._replica_set = told
+            self._note(events.SET_CHANGED, self.name, told)
--- /dev/null
+++ b/zinniaspoke/daemons/lean_control.py
@@ -0,0 +1,327 @@
+"""The control VM's program for small machines: links, an HTTP port, a disk and the coordinator."""
+
+import asyncio
+import json
+import random
+
+from zinniaspoke import (
+    consensus,
+    control,
+    coordinator,
+    errors,
+    events,
+    feed,
+    lean_settings,
+    log,
+    ports,
+    roster,
+    storage,
+)
+from zinniaspoke.adapters import links, page
+from zinniaspoke.daemons import lean
+from zinniaspoke.proto import control_pb2
+
+# A fifth of the leader's heartbeat interval is not needed: messages are sent as they arise.
+TICK_S = 0.04
+# Callers turn to another control VM after a second without an answer.
+CALL_LIMIT_S = 0.85
+CALL_RETRY_S = 0.04
+TRANSFER_LIMIT_S = 1.0
+# Connections to control VMs that left the set are kept this long.
+DIAL_KEEP_S = 10.0
+_FINAL = (control_pb2.SUBMIT_OUTCOME_YES, control_pb2.SUBMIT_OUTCOME_NO)
+
+
+class LeanControl(links.Owner):
+    """Joins the coordinator with sockets and the disk."""
+
+    def __init__(self, *, config: lean_settings.Control, output: ports.LogPort) -> None:
+        """Prepares the program; opens nothing.
+
+        Args:
+            config: The settings.
+            output: Where events go.
+        """
+        self.config = config
+        self._output = output
+        self._followers: dict[links.Link, coordinator.Follower] = {}
+        self._controls_in: set[links.Link] = set()
+        self._diallers: dict[str, links.Dialler] = {}
+        self._used_s: dict[str, float] = {}
+        self._local: dict[int, asyncio.Future[control_pb2.CallReply]] = {}
+        self._remote: dict[int, asyncio.Future[control_pb2.CallReply]] = {}
+        self._passed: dict[int, tuple[links.Link, int]] = {}
+        self._next_ticket = 0
+        self._servers: list[asyncio.AbstractServer] = []
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self, handler: page.Handler) -> None:
+        """Reads back the state, opens the ports and takes part.
+
+        Args:
+            handler: Answers what targets and operators call.
+
+        Raises:
+            errors.Error: The data folder or a port cannot be opened.
+        """
+        config = self.config
+        now_s = lean.now_s()
+        files = storage.DiskStorage(folder=config.data_folder)
+        core = control.Control(
+            name=config.peer_name,
+            founders=config.seeds,
+            entries=log.Log(files=files),
+            rng=random.Random(),
+            now_s=now_s,
+            numbering=config.numbering,
+            voter_count=config.voter_count,
+            is_open=True,
+            may_found=config.may_found,
+        )
+        self._coordinator = coordinator.Coordinator(
+            name=config.peer_name,
+            core=core,
+            targets=roster.Roster(
+                silent_after_s=roster.MISSED_ANNOUNCEMENTS * config.announcement_interval_s,
+                retain_s=config.flow_life_s + roster.RETAIN_SLACK_S,
+            ),
+            announcement_interval_s=config.announcement_interval_s,
+            now_s=now_s,
+        )
+        self._servers = [
+            await links.listen(self, config.host, config.peer_port, lean.now_s),
+            await page.listen(handler, *config.calls),
+        ]
+        self._sync_diallers(now_s)
+        self._task = asyncio.get_running_loop().create_task(self._tick_forever())
+        self._output.write(events.PROCESS_STARTED, "start", config.name, config.peer_name)
+
+    @property
+    def core(self) -> control.Control:
+        """The agreement."""
+        return self._coordinator.core
+
+    def reload(self, config: lean_settings.Control) -> None:
+        """Takes changed settings.
+
+        Args:
+            config: The new settings.
+        """
+        self.config = config
+        self.core.replica.contacts = config.seeds
+        self._sync_diallers(lean.now_s())
+        self._output.write(
+            events.SETTINGS_CHANGED, "reload", config.name, f"seeds {','.join(config.seeds)}"
+        )
+
+    # Connections
+
+    def _sync_diallers(self, now_s: float) -> None:
+        wanted = set(self._coordinator.controls()) - {self.config.peer_name}
+        for name in wanted:
+            self._used_s[name] = now_s
+            self._dial(name)
+        for name, dialler in list(self._diallers.items()):
+            if now_s - self._used_s[name] > DIAL_KEEP_S:
+                dialler.close()
+                del self._diallers[name]
+
+    def _dial(self, name: str) -> links.Dialler:
+        if name not in self._diallers:
+            self._diallers[name] = links.Dialler(
+                owner=self, peer=name, clock=lean.now_s, log=self._output
+            )
+        return self._diallers[name]
+
+    def link_opened(self, link: links.Link) -> None:
+        """See ``links.Owner.link_opened``."""
+        if link.is_dialled:
+            hello = {"control": self.config.peer_name}
+            link.send(links.Kind.HELLO, json.dumps(hello).encode())
+            self._send_table(link)
+
+    def _send_table(self, link: links.Link) -> None:
+        now_s = lean.now_s()
+        table = self._coordinator.whole_table(now_s)
+        link.send(links.Kind.GOSSIP, feed.encode(table, now_s))
+
+    def link_closed(self, link: links.Link) -> None:
+        """See ``links.Owner.link_closed``."""
+        self._followers.pop(link, None)
+        self._controls_in.discard(link)
+
+    def frame_received(self, link: links.Link, kind: links.Kind, payload: bytes) -> None:
+        """See ``links.Owner.frame_received``."""
+        try:
+            self._take_frame(link, kind, payload, lean.now_s())
+        except errors.StorageError as error:
+            self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
+        except (errors.DatagramError, ValueError) as error:
+            self._output.write(events.DATAGRAM_REFUSED, kind.name, link.peer, str(error))
+        self._flush()
+
+    def _take_frame(self, link: links.Link, kind: links.Kind, payload: bytes, now_s: float) -> None:
+        if kind is links.Kind.REPLICA:
+            self.core.receive(control_pb2.ReplicaMessage.FromString(payload), now_s)
+        elif kind is links.Kind.GOSSIP:
+            self._coordinator.receive_gossip(feed.decode(payload, link.peer, now_s), now_s)
+        elif kind is links.Kind.CALL:
+            self._take_call(link, control_pb2.Call.FromString(payload), now_s)
+        elif kind is links.Kind.REPLY:
+            reply = control_pb2.CallReply.FromString(payload)
+            self._resolve(self._remote.pop(reply.ticket, None), reply)
+        elif kind is links.Kind.HELLO:
+            self._take_hello(link, json.loads(payload))
+
+    def _take_hello(self, link: links.Link, hello: dict) -> None:
+        if "control" in hello:
+            self._controls_in.add(link)
+            self._send_table(link)
+        else:
+            self._followers[link] = coordinator.Follower(number=int(hello["number"]))
+
+    # Calls
+
+    def announce(self, target: roster.Target) -> None:
+        """Takes an announcement.
+
+        Args:
+            target: The target.
+        """
+        self._coordinator.announce(target, lean.now_s())
+        self._flush()
+
+    def end(self, identity: str) -> None:
+        """Takes a target's last word.
+
+        Args:
+            identity: The target's name.
+        """
+        self._coordinator.end(identity, lean.now_s())
+        self._flush()
+
+    async def call(self, file: control_pb2.RuleFile | None) -> control_pb2.CallReply | None:
+        """Submits a rule file or reads the one in force, through the leader.
+
+        Args:
+            file: The file, or None to read.
+
+        Returns:
+            The answer, or None where nothing certain can be said in time.
+        """
+        deadline_s = lean.now_s() + CALL_LIMIT_S
+        while (left_s := deadline_s - lean.now_s()) > 0:
+            waiting = self._start_call(file)
+            if waiting is not None:
+                done, _ = await asyncio.wait((waiting,), timeout=left_s)
+                if done and waiting.result().reply.outcome in _FINAL:
+                    return waiting.result()
+            await asyncio.sleep(CALL_RETRY_S)
+        return None
+
+    def _start_call(
+        self, file: control_pb2.RuleFile | None
+    ) -> asyncio.Future[control_pb2.CallReply] | None:
+        waiting = asyncio.get_running_loop().create_future()
+        replica = self.core.replica
+        if replica.role is consensus.Role.LEADER:
+            ticket = self._enter(file)
+            if ticket is None:
+                return None
+            self._local[ticket] = waiting
+        elif replica.leader in self._diallers:
+            self._next_ticket += 1
+            self._remote[self._next_ticket] = waiting
+            call = control_pb2.Call(ticket=self._next_ticket, file=file)
+            link = self._diallers[replica.leader].link
+            if not link.send(links.Kind.CALL, call.SerializeToString()):
+                return None
+        else:
+            return None
+        self._flush()
+        return waiting
+
+    def _enter(self, file: control_pb2.RuleFile | None) -> int | None:
+        """Hands a call to the agreement; None where the disk refused it."""
+        now_s = lean.now_s()
+        try:
+            if file is None:
+                return self.core.read(now_s)
+            return self.core.submit(file.number, file.content, now_s, file.source)
+        except errors.StorageError as error:
+            self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
+            return None
+
+    def _take_call(self, link: links.Link, call: control_pb2.Call, now_s: float) -> None:
+        ticket = self._enter(call.file if call.HasField("file") else None)
+        if ticket is not None:
+            self._passed[ticket] = (link, call.ticket)
+
+    @staticmethod
+    def _resolve(
+        waiting: asyncio.Future[control_pb2.CallReply] | None, reply: control_pb2.CallReply
+    ) -> None:
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply)
+
+    def _deliver(self, answer: control.Answer) -> None:
+        reply = control_pb2.CallReply(reply=answer.reply, file=self.core.history.current)
+        self._resolve(self._local.pop(answer.ticket, None), reply)
+        link, reply.ticket = self._passed.pop(answer.ticket, (None, 0))
+        if link is not None:
+            link.send(links.Kind.REPLY, reply.SerializeToString())
+
+    # Output
+
+    def _flush(self) -> None:
+        """Sends what the cores have to say: followers first, then whoever waits for an answer."""
+        now_s = lean.now_s()
+        for message in self.core.take_messages():
+            name = consensus.name_of(message.recipient)
+            self._used_s[name] = now_s
+            self._dial(name).link.send(links.Kind.REPLICA, message.SerializeToString())
+        self._feed_followers(now_s)
+        gossip = self._coordinator.take_gossip(now_s)
+        if gossip is not None:
+            data = feed.encode(gossip, now_s)
+            for dialler in self._diallers.values():
+                dialler.link.send(links.Kind.GOSSIP, data)
+        for answer in self.core.take_answers():
+            self._deliver(answer)
+        for notice in (*self.core.take_notices(), *self._coordinator.notices):
+            self._output.write(notice.event, "decide", notice.peer, notice.detail)
+        self._coordinator.notices.clear()
+
+    def _feed_followers(self, now_s: float) -> None:
+        for link, follower in list(self._followers.items()):
+            update = self._coordinator.update_for(follower, now_s)
+            if update is not None:
+                link.send(links.Kind.UPDATE, feed.encode(update, now_s))
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_s = lean.now_s()
+            try:
+                self.core.tick(now_s)
+            except errors.StorageError as error:
+                self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
+            self._coordinator.tick(now_s)
+            self._sync_diallers(now_s)
+            for link in (*self._followers, *self._controls_in):
+                link.tick()
+            self._flush()
+
+    async def leave(self) -> None:
+        """Gives leadership away before a planned stop, then ends."""
+        if self.core.replica.begin_transfer(lean.now_s()):
+            self._flush()
+            deadline_s = lean.now_s() + TRANSFER_LIMIT_S
+            while lean.now_s() < deadline_s:
+                if self.core.replica.role is not consensus.Role.LEADER:
+                    break
+                await asyncio.sleep(TICK_S)
+        self._task.cancel()
+        for server in self._servers:
+            server.close()
+        self._output.write(events.PROCESS_STOPPED, "stop", self.config.name, "")
--- /dev/null
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -0,0 +1,255 @@
+"""The entry VM's program for small machines: a packet socket, links to control VMs, steering."""
+
+import abc
+import asyncio
+import json
+import random
+import socket
+
+from zinniaspoke import (
+    counters,
+    errors,
+    events,
+    feed,
+    lean_settings,
+    ports,
+    roster,
+    steering,
+    subscription,
+)
+from zinniaspoke.adapters import links, page
+from zinniaspoke.daemons import lean
+
+TICK_S = 0.1
+# Datagrams read at one wake-up; more would hold up the links.
+BATCH_COUNT = 64
+DATAGRAM_BYTES = 2048
+RECEIVE_BUFFER_BYTES = 1024 * 1024
+# The fabric asks twice a second and takes a VM out after two misses; packets come until then.
+LEAVE_LEAST_S = 1.6
+LEAVE_QUIET_S = 0.5
+
+
+class PacketCodec(abc.ABC):
+    """The form of packets on the platform."""
+
+    @abc.abstractmethod
+    def decode(self, data: bytes) -> steering.Packet | errors.Nothing:
+        """Reads what steering needs.
+
+        Args:
+            data: A datagram from the fabric.
+
+        Returns:
+            The packet, or the reason why it is none.
+        """
+
+    @abc.abstractmethod
+    def to_target(self, data: bytes, target: roster.Target, kind: steering.Kind) -> bytes:
+        """Builds the datagram for a target.
+
+        Args:
+            data: The datagram from the fabric.
+            target: Where it goes.
+            kind: What the packet does.
+        """
+
+    @abc.abstractmethod
+    def refusal(self, data: bytes) -> tuple[str, bytes]:
+        """Builds the answer to an opening that nobody can take.
+
+        Args:
+            data: The datagram from the fabric.
+
+        Returns:
+            The caller's IP number and the datagram.
+        """
+
+
+class LeanEntry(links.Owner):
+    """Joins steering and subscription with sockets."""
+
+    def __init__(
+        self, *, config: lean_settings.Entry, codec: PacketCodec, output: ports.LogPort
+    ) -> None:
+        """Prepares the program; opens nothing.
+
+        Args:
+            config: The settings.
+            codec: The form of packets.
+            output: Where events go.
+        """
+        self.config = config
+        self._codec = codec
+        self._output = output
+        rng = random.Random()
+        self.view = subscription.Subscription(
+            seeds=config.seeds,
+            contact_s=config.contact_s,
+            retain_s=config.flow_life_s + roster.RETAIN_SLACK_S,
+            rng=rng,
+            now_s=lean.now_s(),
+        )
+        self.steering = steering.Steering(view=self.view, zone=config.zone, rng=rng)
+        self._diallers: dict[str, links.Dialler] = {}
+        self._is_leaving = False
+        self._is_ready = False
+        self._packet_s = 0.0
+        self._servers: list[asyncio.AbstractServer] = []
+
+    @property
+    def counters(self) -> counters.Counters:
+        """Counts of this process."""
+        return self.steering.counters
+
+    async def start(self, handler: page.Handler) -> None:
+        """Opens the sockets and starts to follow control VMs.
+
+        Args:
+            handler: Answers whether this VM is ready.
+
+        Raises:
+            errors.Error: A port cannot be opened.
+        """
+        loop = asyncio.get_running_loop()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._socket.setblocking(False)
+        self._socket.bind(self.config.packets)
+        self._servers = [await page.listen(handler, *self.config.ready)]
+        self._follow()
+        loop.add_reader(self._socket.fileno(), self._read_packets)
+        self._task = loop.create_task(self._tick_forever())
+        self._output.write(events.PROCESS_STARTED, "start", self.config.name, self.config.host)
+
+    def reload(self, config: lean_settings.Entry) -> None:
+        """Takes changed settings.
+
+        Args:
+            config: The new settings.
+        """
+        self.config = config
+        self.view.set_seeds(config.seeds)
+        self._output.write(
+            events.SETTINGS_CHANGED, "reload", config.name, f"seeds {','.join(config.seeds)}"
+        )
+
+    # Packets
+
+    def _read_packets(self) -> None:
+        now_s = lean.now_s()
+        self.view.note_time(now_s)
+        self._packet_s = now_s
+        receive = self._socket.recv
+        for _ in range(BATCH_COUNT):
+            try:
+                data = receive(DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._drop(f"receive_{error.errno}")
+                return
+            self._handle(data, now_s)
+
+    def _handle(self, data: bytes, now_s: float) -> None:
+        packet = self._codec.decode(data)
+        if isinstance(packet, errors.Nothing):
+            self._drop(packet.reason)
+            return
+        found = self.steering.steer(packet, now_s)
+        if isinstance(found, errors.Nothing):
+            self._drop(found.reason)
+            if found in steering.REFUSALS:
+                host, answer = self._codec.refusal(data)
+                self._send(answer, (host, self.config.packets[1]))
+            return
+        self._send(self._codec.to_target(data, found, packet.kind), found.address)
+
+    def _drop(self, reason: str) -> None:
+        self.counters.drops[reason] += 1
+
+    def _send(self, data: bytes, endpoint: tuple[str, int]) -> None:
+        try:
+            self._socket.sendto(data, endpoint)
+        except OSError as error:
+            self._drop(f"send_{error.errno}")
+
+    # Control VMs
+
+    def _follow(self) -> None:
+        wanted = self.view.choose(lean.now_s())
+        for name in wanted:
+            if name not in self._diallers:
+                self._diallers[name] = links.Dialler(
+                    owner=self, peer=name, clock=lean.now_s, log=self._output
+                )
+        for name in self._diallers.keys() - set(wanted):
+            self._diallers.pop(name).close()
+
+    def link_opened(self, link: links.Link) -> None:
+        """See ``links.Owner.link_opened``."""
+        hello = {"entry": self.config.name, "number": self.view.rules.number}
+        link.send(links.Kind.HELLO, json.dumps(hello).encode())
+
+    def link_closed(self, link: links.Link) -> None:
+        """See ``links.Owner.link_closed``."""
+        self.view.closed(link.peer)
+
+    def frame_received(self, link: links.Link, kind: links.Kind, payload: bytes) -> None:
+        """See ``links.Owner.frame_received``."""
+        if kind is not links.Kind.UPDATE:
+            return
+        now_s = lean.now_s()
+        self.view.note_time(now_s)
+        try:
+            self.view.take(link.peer, feed.decode(payload, link.peer, now_s), now_s)
+        except errors.RuleError as error:
+            self._output.write(events.RULES_REFUSED, error.step, link.peer, error.reason)
+        except errors.DatagramError as error:
+            self._output.write(events.DATAGRAM_REFUSED, error.step, link.peer, error.reason)
+        self._tell()
+
+    # Time
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the fabric may send packets here."""
+        is_ready = not self._is_leaving and (self._is_ready or self.view.is_ready(lean.now_s()))
+        if is_ready != self._is_ready:
+            self._is_ready = is_ready
+            event = events.READY if is_ready else events.NOT_READY
+            detail = f"rules {self.view.rules.number}, {len(self.view.targets)} targets"
+            self._output.write(event, "answer the fabric", self.config.name, detail)
+        return is_ready
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_s = lean.now_s()
+            self.view.tick(now_s)
+            self.steering.tick(now_s)
+            self._follow()
+            self._tell()
+
+    def _tell(self) -> None:
+        for event, peer, detail in self.view.notices:
+            self._output.write(event, "follow", peer, detail)
+        self.view.notices.clear()
+        for target in self.steering.suspected:
+            detail = f"{target.service} at {target.address[0]}, openings go unanswered"
+            self._output.write(events.TARGET_SUSPECTED, "open flow", target.identity, detail)
+        self.steering.suspected.clear()
+
+    async def leave(self) -> None:
+        """Asks for no more packets, carries what still comes, then ends."""
+        self._is_leaving = True
+        _ = self.is_ready
+        started_s = lean.now_s()
+        least_s = min(LEAVE_LEAST_S, self.config.stop_limit_s / 2)
+        most_s = self.config.stop_limit_s * 0.8
+        while (spent_s := lean.now_s() - started_s) < most_s:
+            if spent_s >= least_s and lean.now_s() - self._packet_s > LEAVE_QUIET_S:
+                break
+            await asyncio.sleep(TICK_S)
+        self._task.cancel()
+        self._output.write(events.PROCESS_STOPPED, "stop", self.config.name, "")
--- /dev/null
+++ b/zinniaspoke/feed.py
@@ -0,0 +1,145 @@
+"""Updates from control VMs to their followers, and between control VMs: targets and rules."""
+
+import json
+from collections.abc import Iterable
+
+import attrs
+
+from zinniaspoke import errors, roster
+
+
+@attrs.frozen(kw_only=True)
+class Sighting:
+    """A target as one control VM sees it.
+
+    Attributes:
+        target: The record; ``warm_at_s`` is on the reader's clock.
+        age_s: Time since it was heard of.
+        is_silent: Whether its announcements have stopped.
+    """
+
+    target: roster.Target
+    age_s: float
+    is_silent: bool
+
+
+@attrs.frozen(kw_only=True)
+class Update:
+    """What a control VM tells.
+
+    Attributes:
+        sightings: Targets that changed, or all of them at the start of a connection.
+        controls: Names of the control VMs, HOST:PORT.
+        number: Number of the rule file that the sender holds.
+        content: The rule file's bytes, where the reader is not known to hold it.
+        is_current: Whether the sender is in touch with the agreement's leader.
+        is_complete: Whether the sender knows all targets that others know.
+    """
+
+    sightings: tuple[Sighting, ...] = ()
+    controls: tuple[str, ...] = ()
+    number: int = 0
+    content: bytes | None = None
+    is_current: bool = False
+    is_complete: bool = False
+
+
+def sight(entry: roster.Entry, now_s: float) -> Sighting:
+    """Tells of a roster's entry.
+
+    Args:
+        entry: The entry.
+        now_s: Current time.
+    """
+    return Sighting(
+        target=entry.target, age_s=max(0.0, now_s - entry.heard_s), is_silent=entry.is_silent
+    )
+
+
+def _pack(sighting: Sighting, now_s: float) -> list[object]:
+    target = sighting.target
+    return [
+        target.identity,
+        target.born_ms,
+        target.sequence,
+        target.service,
+        *target.address,
+        target.zone,
+        target.slot_count,
+        int(target.state),
+        round(max(0.0, target.warm_at_s - now_s), 2),
+        round(sighting.age_s, 2),
+        sighting.is_silent,
+    ]
+
+
+def _unpack(row: list, now_s: float) -> Sighting:
+    identity, born_ms, sequence, service, host, port, zone, slots, state, cold_s, age_s, mute = row
+    target = roster.Target(
+        identity=str(identity),
+        born_ms=int(born_ms),
+        sequence=int(sequence),
+        service=str(service),
+        address=(str(host), int(port)),
+        zone=str(zone),
+        slot_count=int(slots),
+        state=roster.State(state),
+        warm_at_s=now_s + float(cold_s),
+    )
+    return Sighting(target=target, age_s=float(age_s), is_silent=bool(mute))
+
+
+def encode(update: Update, now_s: float) -> bytes:
+    """Encodes an update.
+
+    Args:
+        update: The update.
+        now_s: Current time of the sender.
+    """
+    body: dict[str, object] = {
+        "targets": [_pack(sighting, now_s) for sighting in update.sightings],
+        "controls": update.controls,
+        "number": update.number,
+        "is_current": update.is_current,
+        "is_complete": update.is_complete,
+    }
+    if update.content is not None:
+        body["content"] = update.content.decode()
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def decode(data: bytes, peer: str, now_s: float) -> Update:
+    """Decodes an update.
+
+    Args:
+        data: The bytes.
+        peer: Who sent them.
+        now_s: Current time of the reader.
+
+    Raises:
+        errors.DatagramError: The bytes are no update.
+    """
+    try:
+        body = json.loads(data)
+        content = body.get("content")
+        return Update(
+            sightings=tuple(_unpack(row, now_s) for row in body["targets"]),
+            controls=tuple(str(name) for name in body["controls"]),
+            number=int(body["number"]),
+            content=None if content is None else content.encode(),
+            is_current=bool(body["is_current"]),
+            is_complete=bool(body["is_complete"]),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        reason = f"{type(error).__name__}: {error}"
+        raise errors.DatagramError(step="decode update", peer=peer, reason=reason) from error
+
+
+def sight_all(entries: Iterable[roster.Entry], now_s: float) -> tuple[Sighting, ...]:
+    """Tells of several entries.
+
+    Args:
+        entries: The entries.
+        now_s: Current time.
+    """
+    return tuple(sight(entry, now_s) for entry in entries)
--- a/zinniaspoke/ports.py
+++ b/zinniaspoke/ports.py
@@ -1,9 +1,15 @@
 """The abstract interfaces that adapters implement for the daemons."""
 
+from __future__ import annotations
+
 import abc
+import typing
 
 from zinniaspoke import events
-from zinniaspoke.proto import control_pb2
+
+if typing.TYPE_CHECKING:
+    # The entry program does not load protobuf.
+    from zinniaspoke.proto import control_pb2
 
 
 class DatagramPort(abc.ABC):
--- a/zinniaspoke/rules.py
+++ b/zinniaspoke/rules.py
@@ -41,6 +41,20 @@
     return _positive_number("wait_s", text)
 
 
+@_option("split")
+def _parse_split(text: str) -> tuple[tuple[str, int], ...]:
+    """Parses SERVICE:WEIGHT,SERVICE:WEIGHT."""
+    shares = []
+    for part in text.split(","):
+        service, mark, weight = part.rpartition(":")
+        if not mark or not service or not weight.isdigit():
+            raise ValueError(f"split is SERVICE:WEIGHT,…, not {text!r}")
+        shares.append((service, int(weight)))
+    if not sum(weight for _, weight in shares):
+        raise ValueError("split gives no service any weight")
+    return tuple(shares)
+
+
 def _positive_number(name: str, text: str) -> float:
     try:
         value = float(text)
@@ -63,6 +77,7 @@
         work_class: ``"short"`` or ``"long"``: what work to expect.
         idle_s: A flow that is silent for this long is forgotten.
         wait_s: Longest wait of an opening for a free slot.
+        split: Services and weights that share new flows; empty for all to ``service``.
         comment: Who asked for the rule and why.
         line: Line number in the file.
     """
@@ -74,6 +89,7 @@
     work_class: str = "short"
     idle_s: float = 900.0
     wait_s: float = 2.0
+    split: tuple[tuple[str, int], ...] = ()
     comment: str
     line: int
 
@@ -82,6 +98,21 @@
         """What a packet is matched by: protocol, address and port."""
         return service_key(self.protocol, self.address, self.port.to_bytes(2, "big"))
 
+    def service_for(self, flow_hash: int) -> str:
+        """Returns the service of a flow, the same for each repeat of its opening.
+
+        Args:
+            flow_hash: Hash of the flow's key.
+        """
+        if not self.split:
+            return self.service
+        point = flow_hash % sum(weight for _, weight in self.split)
+        for service, weight in self.split:
+            point -= weight
+            if point < 0:
+                return service
+        return self.service
+
     @property
     def is_long(self) -> bool:
         """Whether the work behind this address is expected to run long."""
@@ -118,7 +149,8 @@
 
     def services(self) -> frozenset[str]:
         """Returns the names of the services that the rules name."""
-        return frozenset(rule.service for rule in self.rules.values())
+        shared = {service for rule in self.rules.values() for service, _ in rule.split}
+        return frozenset(shared | {rule.service for rule in self.rules.values()})
 
 
 EMPTY = RuleSet(number=0, content=b"", rules={})
--- /dev/null
+++ b/zinniaspoke/subscription.py
@@ -0,0 +1,258 @@
+"""An entry VM's view of rules and targets, merged from the control VMs that it follows."""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from zinniaspoke import events, feed, roster, rulebook
+
+# Several control VMs are followed at once, since one may be old without knowing it.
+FOLLOW_COUNT = 4
+# A control VM without contact to the leader for this long is exchanged where others are known.
+OLD_LIMIT_S = 1.5
+# One that told nothing for this long has no say any more; three of its heartbeats.
+SILENCE_S = 1.3
+# A VM that stood still longer than this has missed updates.
+GAP_S = 0.8
+# After such a gap new flows wait this long at most for an update; callers repeat after 0.2 s.
+CATCH_UP_S = 0.6
+
+
+@attrs.define(kw_only=True, slots=True)
+class Feed:
+    """What one followed control VM said.
+
+    Attributes:
+        heard_s: When it last told anything.
+        current_s: When it last was in touch with the leader.
+        number: Rule number that it held.
+        is_complete: Whether it knows all targets.
+        silent: Targets that it has not heard for a while.
+        known: Targets that it told of.
+    """
+
+    heard_s: float
+    current_s: float
+    number: int = 0
+    is_complete: bool = False
+    silent: set[str] = attrs.field(factory=set)
+    known: set[str] = attrs.field(factory=set)
+
+
+class Subscription:
+    """Chooses whom to follow and merges what they tell.
+
+    Attributes:
+        rules: The rules in force.
+        targets: Newest records of all targets that may hold flows.
+        revision: Rises whenever targets or rules may have changed.
+        notices: Events to log: event, peer, detail.
+    """
+
+    def __init__(
+        self,
+        *,
+        seeds: Iterable[str],
+        contact_s: float,
+        retain_s: float,
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        """Starts with nothing known.
+
+        Args:
+            seeds: Control VMs to start from.
+            contact_s: Within this time all that can be reached is in touch.
+            retain_s: Targets that end are kept this long, for their open flows.
+            rng: Seeded random source.
+            now_s: Current time.
+        """
+        self._rng = rng
+        self._contact_s = contact_s
+        self.rules = rulebook.RuleBook()
+        self.targets = roster.Roster(silent_after_s=contact_s, retain_s=retain_s)
+        self.revision = 0
+        self.notices: list[tuple[events.Event, str, str]] = []
+        self._seeds = tuple(seeds)
+        self._known: set[str] = set()
+        self._feeds: dict[str, Feed] = {}
+        self._chosen: dict[str, float] = {}
+        self._started_s = now_s
+        self._ticked_s = now_s
+        self._woke_s = -1e9
+        self._updated_s = -1e9
+        self._has_table = False
+        self._is_confirmed = False
+        self._was_old = False
+        self._dead: frozenset[str] = frozenset()
+        self.choose(now_s)
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Takes changed settings.
+
+        Args:
+            seeds: Control VMs to start from.
+        """
+        self._seeds = tuple(seeds)
+
+    # Whom to follow
+
+    def choose(self, now_s: float) -> list[str]:
+        """Returns the control VMs to be connected to.
+
+        One that is silent or old gives its place to another, where there is another.
+
+        Args:
+            now_s: Current time.
+        """
+        known = {*self._seeds, *self._known}
+        for name, since_s in list(self._chosen.items()):
+            if name not in known or (now_s - since_s > OLD_LIMIT_S and self._is_old(name, now_s)):
+                del self._chosen[name]
+        others = sorted(known - self._chosen.keys())
+        self._rng.shuffle(others)
+        for name in others[: max(0, FOLLOW_COUNT - len(self._chosen))]:
+            self._chosen[name] = now_s
+        return list(self._chosen)
+
+    def _is_old(self, name: str, now_s: float) -> bool:
+        told = self._feeds.get(name)
+        return told is None or now_s - told.current_s > OLD_LIMIT_S
+
+    # What they tell
+
+    def closed(self, name: str) -> None:
+        """A connection to a control VM was lost; what it said of silent targets counts no more.
+
+        Args:
+            name: The control VM.
+        """
+        if len(self._feeds) > 1:
+            self._feeds.pop(name, None)
+        elif name in self._feeds:
+            self._feeds[name].heard_s = -1e9
+
+    def take(self, name: str, update: feed.Update, now_s: float) -> None:
+        """Takes an update.
+
+        Args:
+            name: The control VM that sent it.
+            update: The update.
+            now_s: Current time.
+
+        Raises:
+            errors.RuleError: The rules cannot be read; those in force stay.
+        """
+        told = self._feeds.setdefault(name, Feed(heard_s=now_s, current_s=-1e9))
+        told.heard_s = now_s
+        self._updated_s = now_s
+        if update.controls:
+            self._known = set(update.controls)
+        for sighting in update.sightings:
+            self._take_sighting(told, sighting, now_s)
+        if update.content is not None and self.rules.install(update.number, update.content):
+            self.revision += 1
+            self.notices.append((events.RULES_IN_FORCE, name, f"number {update.number}"))
+        told.number = update.number
+        if update.is_current:
+            told.current_s = now_s
+            self._is_confirmed |= self.rules.number >= update.number > 0
+        told.is_complete = update.is_complete
+        if update.is_complete and not self._has_table:
+            self._has_table = True
+            detail = f"{len(self.targets)} targets"
+            self.notices.append((events.TABLE_COMPLETE, name, detail))
+
+    def _take_sighting(self, told: Feed, sighting: feed.Sighting, now_s: float) -> None:
+        target = sighting.target
+        told.known.add(target.identity)
+        (told.silent.add if sighting.is_silent else told.silent.discard)(target.identity)
+        before = self.targets.revision
+        entry = self.targets.take(target, now_s, now_s)
+        if self.targets.revision != before and entry is not roster.STALE:
+            detail = f"{target.service} {target.state.name.lower()} sequence {target.sequence}"
+            self.notices.append(
+                (events.TARGET_CHANGED, f"{target.identity}/{target.born_ms}", detail)
+            )
+        self.revision += 1
+
+    # What follows from it
+
+    def _live_feeds(self, now_s: float) -> list[Feed]:
+        """Feeds that have a say; where all are silent, those that spoke last."""
+        live = [f for f in self._feeds.values() if now_s - f.heard_s <= SILENCE_S]
+        return live or list(self._feeds.values())
+
+    def _find_dead(self, now_s: float) -> frozenset[str]:
+        """Targets that no control VM in touch hears any more."""
+        live = self._live_feeds(now_s)
+        silent = set().union(*(f.silent for f in live)) if live else set()
+        return frozenset(
+            identity
+            for identity in silent
+            if all(identity in f.silent or identity not in f.known for f in live)
+        )
+
+    def is_alive(self, identity: str) -> bool:
+        """Whether a target still announces itself, as far as anyone in touch knows.
+
+        Args:
+            identity: The target's name.
+        """
+        return identity not in self._dead
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Whether new flows may be placed: not on what was known before this VM stood still.
+
+        Args:
+            now_s: Current time.
+        """
+        return self._updated_s >= self._woke_s or now_s - self._woke_s > CATCH_UP_S
+
+    def is_ready(self, now_s: float) -> bool:
+        """Whether packets may come: rules and targets are known.
+
+        In a zone that is cut off nobody can confirm the rules; then what can be had has to do.
+
+        Args:
+            now_s: Current time.
+        """
+        if not self._has_table or not self.rules.number:
+            return False
+        return self._is_confirmed or now_s - self._started_s > self._contact_s
+
+    def note_time(self, now_s: float) -> None:
+        """Notices that this VM stood still; called before anything else is done.
+
+        Args:
+            now_s: Current time.
+        """
+        if now_s - self._ticked_s > GAP_S:
+            self._woke_s = now_s
+        self._ticked_s = now_s
+
+    def tick(self, now_s: float) -> None:
+        """Does what is due.
+
+        Args:
+            now_s: Current time.
+        """
+        self.note_time(now_s)
+        dead = self._find_dead(now_s)
+        if dead != self._dead:
+            for identity in dead - self._dead:
+                self.notices.append((events.TARGET_SILENT, identity, "no control VM hears it"))
+            self._dead = dead
+            self.revision += 1
+        for entry in self.targets.entries():
+            if entry.target.identity not in dead and entry.target.state is not roster.State.ENDED:
+                entry.heard_s = now_s
+        count = len(self.targets)
+        self.targets.tick(now_s)
+        if len(self.targets) != count:
+            self.revision += 1
+        is_old = not any(now_s - f.current_s <= OLD_LIMIT_S for f in self._feeds.values())
+        if is_old and not self._was_old:
+            self.notices.append((events.RULES_OLD, "control VMs", f"number {self.rules.number}"))
+        self._was_old = is_old
