--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -17,6 +17,10 @@
 HEARTBEAT_S = 0.1
 ELECTION_LEAST_S = 0.5
 ELECTION_MOST_S = 1.0
+# A replica that has heard no leader since its start asks sooner; the pre-vote keeps it from
+# disturbing one that is there.
+FIRST_ELECTION_LEAST_S = 0.15
+FIRST_ELECTION_MOST_S = 0.45
 JOIN_S = 0.3
 # A replica without a leader for this long asks to join, in case it was left out of the set.
 FORGOTTEN_S = 2.0
@@ -146,6 +150,7 @@
         self._round = 0
         self._reads: list[Read] = []
         self._heard_leader_s = -1e9
+        self._has_heard_leader = False
         self._deadline_s = 0.0
         self._join_s = -1e9
         self._empty_members: dict[str, str] = {}
@@ -230,7 +235,10 @@
             self._probe(now_s)
 
     def _reset_deadline(self, now_s: float) -> None:
-        self._deadline_s = now_s + self._rng.uniform(ELECTION_LEAST_S, ELECTION_MOST_S)
+        least_s, most_s = ELECTION_LEAST_S, ELECTION_MOST_S
+        if not self._has_heard_leader:
+            least_s, most_s = FIRST_ELECTION_LEAST_S, FIRST_ELECTION_MOST_S
+        self._deadline_s = now_s + self._rng.uniform(least_s, most_s)
 
     def _send(self, recipient: str, **body: object) -> None:
         self.messages.append(
@@ -404,6 +412,7 @@
 
     def _become_leader(self, now_s: float) -> None:
         self.role = Role.LEADER
+        self._has_heard_leader = True
         self.leader = self._name
         self._progress = {}
         self._reads = []
@@ -608,6 +617,7 @@
             return False
         self.leader = name_of(message.sender)
         self._heard_leader_s = now_s
+        self._has_heard_leader = True
         if self.role in (Role.CANDIDATE, Role.OUTSIDER):
             self._become_follower(now_s)
         self._reset_deadline(now_s)
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -24,6 +24,7 @@
 REFUSED_NO_ROUTE = errors.Nothing(reason="refused_no_route")
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
 DROPPED_UNKNOWN_TOKEN = errors.Nothing(reason="dropped_unknown_token")
+DROPPED_NOT_READY = errors.Nothing(reason="dropped_not_ready")
 DROPPED_NOT_FRESH = errors.Nothing(reason="dropped_not_fresh")
 REFUSALS = (REFUSED_NO_ROUTE, REFUSED_NO_TARGET)
 
@@ -169,6 +170,9 @@
         flow = self._flows.get(packet.flow)
         if flow is not None and flow.stage is not Stage.CLOSED:
             return self._steer_repeat(flow, packet, now_s)
+        if not self._view.is_ready(now_s):
+            # Not a refusal: what is not known yet may be known when the caller repeats.
+            return DROPPED_NOT_READY
         if not self._view.is_fresh(now_s):
             return DROPPED_NOT_FRESH
         load = self._place(packet, now_s, avoid=None)
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -17,6 +17,9 @@
 GAP_S = 0.8
 # After such a gap new flows wait this long at most for an update; callers repeat after 0.2 s.
 CATCH_UP_S = 0.6
+# Rules that nobody confirms are taken after this long: a connection attempt has failed by then,
+# so the zone is cut off, or the control VMs have no leader.
+UNCONFIRMED_S = 1.5
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -85,6 +88,7 @@
         self._has_table = False
         self._is_confirmed = False
         self._was_old = False
+        self._was_ready = False
         self._dead: frozenset[str] = frozenset()
         self.choose(now_s)
 
@@ -211,16 +215,32 @@
         return self._updated_s >= self._woke_s or now_s - self._woke_s > CATCH_UP_S
 
     def is_ready(self, now_s: float) -> bool:
-        """Whether packets may come: rules and targets are known.
+        """Whether packets may come: rules and targets are known. Once true, it stays so.
 
         In a zone that is cut off nobody can confirm the rules; then what can be had has to do.
 
         Args:
             now_s: Current time.
         """
-        if not self._has_table or not self.rules.number:
-            return False
-        return self._is_confirmed or now_s - self._started_s > self._contact_s
+        if not self._was_ready:
+            is_confirmed = self._is_confirmed or now_s - self._started_s > UNCONFIRMED_S
+            self._was_ready = bool(self.rules.number) and is_confirmed and self._knows_targets()
+        return self._was_ready
+
+    def _knows_targets(self) -> bool:
+        """Whether all targets are known, or one of each service and nobody knows more.
+
+        After a restart of all control VMs the table fills up as targets announce themselves.
+        Packets of a flow whose target is not known yet are dropped and come again.
+        """
+        if self._has_table:
+            return True
+        live = {
+            entry.target.service
+            for entry in self.targets.entries()
+            if entry.target.state is roster.State.READY
+        }
+        return bool(self._feeds) and self.rules.current.services() <= live
 
     def note_time(self, now_s: float) -> None:
         """Notices that this VM stood still; called before anything else is done.
