--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -45,7 +45,7 @@
         self.config = config
         self._output = output
         self._followers: dict[links.Link, coordinator.Follower] = {}
-        self._controls_in: set[links.Link] = set()
+        self._controls_in: dict[links.Link, str] = {}
         self._diallers: dict[str, links.Dialler] = {}
         self._used_s: dict[str, float] = {}
         self._local: dict[int, asyncio.Future[control_pb2.CallReply]] = {}
@@ -148,7 +148,7 @@
     def link_closed(self, link: links.Link) -> None:
         """See ``links.Owner.link_closed``."""
         self._followers.pop(link, None)
-        self._controls_in.discard(link)
+        self._controls_in.pop(link, None)
 
     def frame_received(self, link: links.Link, kind: links.Kind, payload: bytes) -> None:
         """See ``links.Owner.frame_received``."""
@@ -175,7 +175,7 @@
 
     def _take_hello(self, link: links.Link, hello: dict) -> None:
         if "control" in hello:
-            self._controls_in.add(link)
+            self._controls_in[link] = str(hello["control"])
             self._send_table(link)
         else:
             self._followers[link] = coordinator.Follower(number=int(hello["number"]))
@@ -233,8 +233,7 @@
             self._next_ticket += 1
             self._remote[self._next_ticket] = waiting
             call = control_pb2.Call(ticket=self._next_ticket, file=file)
-            link = self._diallers[replica.leader].link
-            if not link.send(links.Kind.CALL, call.SerializeToString()):
+            if not self._send(replica.leader, links.Kind.CALL, call.SerializeToString()):
                 return None
         else:
             return None
@@ -273,19 +272,31 @@
 
     # Output
 
+    def _send(self, name: str, kind: links.Kind, payload: bytes) -> bool:
+        """Sends on the connection that this VM opened, or else on one that the peer opened.
+
+        An attempt made while the peer had no power hangs for a while after it is back.
+        """
+        if self._dial(name).link.send(kind, payload):
+            return True
+        for link, peer in list(self._controls_in.items()):
+            if peer == name and link.send(kind, payload):
+                return True
+        return False
+
     def _flush(self) -> None:
         """Sends what the cores have to say: followers first, then whoever waits for an answer."""
         now_s = lean.now_s()
         for message in self.core.take_messages():
             name = consensus.name_of(message.recipient)
             self._used_s[name] = now_s
-            self._dial(name).link.send(links.Kind.REPLICA, message.SerializeToString())
+            self._send(name, links.Kind.REPLICA, message.SerializeToString())
         self._feed_followers(now_s)
         gossip = self._coordinator.take_gossip(now_s)
         if gossip is not None:
             data = feed.encode(gossip, now_s)
-            for dialler in self._diallers.values():
-                dialler.link.send(links.Kind.GOSSIP, data)
+            for name in self._diallers:
+                self._send(name, links.Kind.GOSSIP, data)
         for answer in self.core.take_answers():
             self._deliver(answer)
         for notice in (*self.core.take_notices(), *self._coordinator.notices):
