--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,283 @@
+"""The path of packets by routing tokens: openings, repeats, binding, open flows, refusals."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from zinniaspoke import choosing, feed, hashing, packets, roster, steering, subscription
+
+RULES = b"10.9.0.1:443 tcp ledger # t: t\n10.9.0.1:444 tcp archive # t: t"
+LEDGER = bytes((10, 9, 0, 1)) + (443).to_bytes(2, "big")
+ARCHIVE = bytes((10, 9, 0, 1)) + (444).to_bytes(2, "big")
+NOWHERE = bytes((10, 9, 0, 9)) + (443).to_bytes(2, "big")
+READY, DRAINING, ENDED = roster.State.READY, roster.State.DRAINING, roster.State.ENDED
+
+
+def target(number, service="ledger", state=READY, born_ms=1000, **others):
+    return roster.Target(
+        identity=f"i-{number}",
+        born_ms=born_ms,
+        sequence=others.pop("sequence", 1),
+        service=service,
+        address=(f"10.0.0.{number}", 80),
+        zone=others.pop("zone", "a"),
+        slot_count=2,
+        state=state,
+        **others,
+    )
+
+
+def update(*targets, number=0, content=None, silent=(), is_current=True, is_complete=True):
+    sightings = [
+        feed.Sighting(target=t, age_s=0.0, is_silent=t.identity in silent) for t in targets
+    ]
+    return feed.Update(
+        sightings=tuple(sightings),
+        controls=("c1:1", "c2:1"),
+        number=number,
+        content=content,
+        is_current=is_current,
+        is_complete=is_complete,
+    )
+
+
+class Vm:
+    """An entry VM's cores with a clock."""
+
+    def __init__(self, *targets, rules=RULES, seed=1):
+        self.now_s = 100.0
+        rng = random.Random(seed)
+        self.view = subscription.Subscription(
+            seeds=("c1:1", "c2:1"), contact_s=4.0, retain_s=60.0, rng=rng, now_s=self.now_s
+        )
+        self.core = steering.Steering(view=self.view, zone="a", rng=rng)
+        if targets:
+            self.take(*targets, number=1, content=rules)
+
+    def take(self, *targets, name="c1:1", **values):
+        self.view.take(name, update(*targets, **values), self.now_s)
+
+    def run(self, seconds, feeds=("c1:1",)):
+        """Lets time pass in small steps, with heartbeats of the given control VMs."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.1
+            for name in feeds:
+                self.take(name=name, number=self.view.rules.number)
+            self.view.tick(self.now_s)
+            self.core.tick(self.now_s)
+
+    def packet(self, flow, kind=steering.Kind.OPENING, token=0, route=LEDGER):
+        made = steering.Packet(flow=flow, route=route, kind=kind, token=token)
+        return self.core.steer(made, self.now_s)
+
+    def open(self, flow, route=LEDGER):
+        """Opens a flow whose target answers at once."""
+        chosen = self.packet(flow, route=route)
+        assert self.packet(flow, steering.Kind.DATA, chosen.token, route) is chosen
+        return chosen
+
+
+def flow(number):
+    return number.to_bytes(12, "big")
+
+
+def test_opening_goes_to_a_target_of_the_rules_service():
+    vm = Vm(target(1), target(2, "archive"))
+    assert vm.packet(flow(1)).identity == "i-1"
+    assert vm.packet(flow(2), route=ARCHIVE).identity == "i-2"
+
+
+def test_what_nobody_can_take_is_refused_at_once():
+    vm = Vm(target(1))
+    assert vm.packet(flow(1), route=NOWHERE) is steering.REFUSED_NO_ROUTE
+    assert vm.packet(flow(1), route=ARCHIVE) is steering.REFUSED_NO_TARGET
+
+
+def test_opening_before_anything_is_known_is_dropped_and_not_refused():
+    assert Vm().packet(flow(1)) is steering.DROPPED_NOT_READY
+
+
+def test_open_flow_goes_to_its_target_on_every_entry_vm_that_knows_the_token():
+    targets = [target(n) for n in range(1, 8)]
+    first, second = Vm(*targets, seed=1), Vm(*targets, seed=2)
+    for number in range(50):
+        chosen = first.open(flow(number))
+        found = second.packet(flow(number), steering.Kind.DATA, chosen.token)
+        assert found.identity == chosen.identity
+
+
+@pytest.mark.parametrize("state", [DRAINING, ENDED])
+def test_target_that_leaves_keeps_its_flows_and_gets_no_new_ones(state):
+    vm = Vm(target(1), target(2))
+    chosen = vm.open(flow(1))
+    vm.take(target(int(chosen.identity[-1]), state=state, sequence=5), number=1)
+    assert vm.packet(flow(1), steering.Kind.DATA, chosen.token).identity == chosen.identity
+    assert all(vm.packet(flow(n)).identity != chosen.identity for n in range(2, 40))
+
+
+def test_unknown_token_is_dropped_and_never_guessed():
+    vm = Vm(target(1))
+    assert vm.packet(flow(1), steering.Kind.DATA, 12345) is steering.DROPPED_UNKNOWN_TOKEN
+    assert vm.packet(flow(1), steering.Kind.DATA, 0) is steering.DROPPED_UNKNOWN_TOKEN
+
+
+def test_new_process_at_an_old_address_gets_no_packet_of_the_old_ones_flows():
+    vm = Vm(target(1))
+    old = vm.open(flow(1))
+    vm.take(target(1, "archive", born_ms=5000), number=1)
+    found = vm.packet(flow(1), steering.Kind.DATA, old.token)
+    assert (found.identity, found.born_ms, found.service) == ("i-1", 1000, "ledger")
+    other = Vm(target(1, "archive", born_ms=5000))
+    assert other.packet(flow(1), steering.Kind.DATA, old.token) is steering.DROPPED_UNKNOWN_TOKEN
+
+
+def test_repeat_that_was_held_up_goes_where_the_first_went():
+    vm = Vm(target(1), target(2))
+    first = vm.packet(flow(1))
+    vm.now_s += 0.05
+    assert vm.packet(flow(1)) is first
+
+
+def test_repeat_goes_to_another_target_and_the_first_is_suspected():
+    """Outlier ejection by what was seen: unanswered openings."""
+    vm = Vm(target(1), target(2), target(3))
+    dead = vm.packet(flow(1)).identity
+    vm.now_s += 0.2
+    assert vm.packet(flow(1)).identity != dead
+    vm.now_s += 0.4
+    for number in range(2, 30):
+        chosen = vm.packet(flow(number))
+        vm.now_s += 0.2
+        if chosen.identity == dead:
+            vm.packet(flow(number))
+        else:
+            vm.packet(flow(number), steering.Kind.DATA, chosen.token)
+    assert [t.identity for t in vm.core.suspected][:1] == [dead]
+
+
+def test_flow_belongs_to_the_target_that_answered_first():
+    vm = Vm(target(1), target(2))
+    first = vm.packet(flow(1))
+    vm.now_s += 0.2
+    second = vm.packet(flow(1))
+    assert second is not first
+    assert vm.packet(flow(1), steering.Kind.DATA, first.token) is first
+    # The second one's late answer changes the token that the caller returns.
+    assert vm.packet(flow(1), steering.Kind.DATA, second.token) is first
+
+
+def test_late_copy_of_an_opening_does_not_move_an_open_flow():
+    vm = Vm(target(1), target(2))
+    chosen = vm.open(flow(1))
+    vm.now_s += 0.6
+    assert vm.packet(flow(1)) is chosen
+
+
+def test_no_new_flow_is_placed_on_what_was_known_before_a_standstill():
+    vm = Vm(target(1))
+    vm.run(1.0)
+    chosen = vm.open(flow(1))
+    vm.now_s += 5.0
+    vm.view.note_time(vm.now_s)
+    assert vm.packet(flow(2)) is steering.DROPPED_NOT_FRESH
+    assert vm.packet(flow(1), steering.Kind.DATA, chosen.token) is chosen
+    vm.take(number=1)
+    assert vm.packet(flow(2)).identity == "i-1"
+
+
+def test_silent_target_gets_no_new_flows_while_one_control_vm_in_touch_hears_it_it_does():
+    vm = Vm(target(1), target(2))
+    vm.take(target(1), target(2), name="c2:1", number=1)
+    vm.take(target(1), silent=("i-1",), number=1)
+    vm.run(0.3, ("c1:1", "c2:1"))
+    assert vm.view.is_alive("i-1")
+    vm.view.closed("c2:1")
+    vm.run(0.3)
+    assert not vm.view.is_alive("i-1")
+    assert all(vm.packet(flow(n)).identity == "i-2" for n in range(9))
+
+
+def test_split_rule_shares_flows_by_weight_and_a_repeat_keeps_its_service():
+    rules = b"10.9.0.1:443 tcp ledger split=ledger:90,archive:10 # t: t"
+    vm = Vm(target(1), target(2, "archive"), rules=rules)
+    services = [vm.packet(flow(n)).service for n in range(2000)]
+    assert 0.06 < services.count("archive") / 2000 < 0.14
+    other = Vm(target(1), target(2, "archive"), rules=rules, seed=9)
+    assert services == [other.packet(flow(n)).service for n in range(2000)]
+
+
+def test_of_two_targets_with_one_token_the_earlier_keeps_it(monkeypatch):
+    monkeypatch.setattr(hashing, "short_hash", lambda data: 7)
+    vm = Vm(target(1, born_ms=2000), target(2, born_ms=1000))
+    assert {vm.packet(flow(n)).identity for n in range(20)} == {"i-2"}
+
+
+def test_counts_return_to_zero_when_flows_end_or_fall_silent():
+    vm = Vm(target(1))
+    ended = vm.open(flow(1))
+    vm.open(flow(2))
+    vm.packet(flow(1), steering.Kind.END, ended.token)
+    load = next(iter(vm.core._loads.values()))
+    assert load.open_count == 1
+    vm.run(steering.LOAD_IDLE_S + 1.0)
+    assert load.open_count == 0
+    vm.run(steering.RECORD_KEEP_S)
+    assert len(vm.core) == 0
+
+
+def test_least_open_spreads_over_equal_targets():
+    """Join the shortest queue."""
+    vm = Vm(*(target(n) for n in range(1, 8)))
+    for number in range(70):
+        vm.open(flow(number))
+    assert {load.open_count for load in vm.core._loads.values()} == {10}
+
+
+@pytest.mark.parametrize("policy", ["random", "least_open"])
+def test_policies_use_suspected_targets_only_where_nothing_else_is_left(policy):
+    choose = choosing.create(policy, random.Random(1))
+    good, bad = choosing.Load(target=target(1)), choosing.Load(target=target(2))
+    for _ in range(choosing.FAILURE_LIMIT):
+        bad.note_failure(10.0)
+    assert all(choose([good, bad], 10.1) is good for _ in range(20))
+    assert choose([bad], 10.1) is bad
+
+
+events = st.tuples(
+    st.sampled_from(["syn", "data", "fin", "rst", "stray"]), st.integers(0, 4), st.integers(0, 5)
+)
+
+
+@given(st.lists(events, max_size=60), st.integers(0, 99))
+def test_no_flow_changes_its_target_once_it_is_bound(script, seed):
+    """Also with strays, repeats, wrong tokens and targets that leave in between."""
+    vm = Vm(*(target(n) for n in range(1, 5)), seed=seed)
+    bound = {}
+    for kind, number, extra in script:
+        vm.now_s += 0.07
+        key = flow(number)
+        if kind == "syn":
+            found = vm.packet(key)
+            if key in bound:
+                assert found.identity == bound[key].identity
+        elif kind == "stray":
+            vm.take(target(1 + extra % 4, state=DRAINING, sequence=9), number=1)
+        else:
+            record = vm.core._flows.get(key)
+            token = bound[key].token if key in bound else record.target.token if record else 0
+            ending = {"data": "DATA", "fin": "END", "rst": "RESET"}[kind]
+            found = vm.packet(key, steering.Kind[ending], token)
+            if key in bound:
+                assert found.identity == bound[key].identity
+            elif record:
+                bound[key] = found
+            if kind != "data":
+                bound.pop(key, None)
+
+
+def test_packets_of_routes_use_the_products_rule_keys():
+    vm = Vm(target(1))
+    assert vm.view.rules.find(packets.TCP, LEDGER[:4], LEDGER[4:]).service == "ledger"
