--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -200,6 +200,23 @@
     assert all(vm.packet(flow(n)).identity == "i-2" for n in range(9))
 
 
+def test_where_all_targets_fell_silent_they_are_tried_and_not_refused():
+    """A zone cut off: its targets need seconds to find the control VM that they can reach."""
+    vm = Vm(target(1), target(2))
+    vm.take(target(1), target(2), silent=("i-1", "i-2"), number=1)
+    vm.run(0.3)
+    assert not vm.view.is_alive("i-1")
+    assert vm.packet(flow(1)).identity in ("i-1", "i-2")
+
+
+def test_target_that_answers_is_there_though_its_announcements_stopped():
+    vm = Vm(target(1), target(2))
+    answering = vm.open(flow(1)).identity
+    vm.take(target(1), target(2), silent=("i-1", "i-2"), number=1)
+    vm.run(0.3)
+    assert {vm.open(flow(n)).identity for n in range(2, 12)} == {answering}
+
+
 def test_split_rule_shares_flows_by_weight_and_a_repeat_keeps_its_service():
     rules = b"10.9.0.1:443 tcp ledger split=ledger:90,archive:10 # t: t"
     vm = Vm(target(1), target(2, "archive"), rules=rules)
--- a/zinniaspoke/log.py
+++ b/zinniaspoke/log.py
@@ -2,9 +2,9 @@
 
 import os
 import struct
+import zlib
 
 import attrs
-import crc32c
 
 from zinniaspoke import errors, storage
 from zinniaspoke.proto import control_pb2
@@ -28,7 +28,7 @@
         The record.
     """
     length = struct.pack("!I", len(payload))
-    return _HEADER.pack(len(payload), crc32c.crc32c(length + payload)) + payload
+    return _HEADER.pack(len(payload), zlib.crc32(length + payload)) + payload
 
 
 def _encode_batch(entries: list[control_pb2.LogEntry]) -> bytes:
@@ -45,7 +45,7 @@
     if length > RECORD_LIMIT_BYTES or end > len(data):
         return errors.Nothing(reason="torn")
     payload = data[offset + _HEADER.size : end]
-    if crc32c.crc32c(data[offset : offset + 4] + payload) != checksum:
+    if zlib.crc32(data[offset : offset + 4] + payload) != checksum:
         return errors.Nothing(reason="checksum" if end < len(data) else "torn")
     return payload
 
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -134,7 +134,8 @@
                 load = self._loads[target.token] = choosing.Load(target=target)
             load.target = target
             load.is_near = target.zone == self._zone
-            if target.state is roster.State.READY and self._view.is_alive(target.identity):
+            load.is_silent = not self._view.is_alive(target.identity)
+            if target.state is roster.State.READY:
                 self._by_service.setdefault(target.service, []).append(load)
         for token in self._loads.keys() - self._by_token.keys():
             del self._loads[token]
@@ -159,7 +160,7 @@
             return DROPPED_UNKNOWN_TOKEN if target is None else target
         flow.seen_s = now_s
         if flow.stage is Stage.OPENING:
-            self._bind(flow, packet.token)
+            self._bind(flow, packet.token, now_s)
         if packet.kind is not Kind.DATA:
             self._close(flow)
         return flow.target
@@ -221,7 +222,7 @@
         flow.load = load
         flow.target = load.target
 
-    def _bind(self, flow: Flow, token: int) -> None:
+    def _bind(self, flow: Flow, token: int, now_s: float) -> None:
         """The first packet after the opening names the target that answered first."""
         answered = self._loads.get(token)
         if answered is None:
@@ -229,7 +230,7 @@
         if answered is not flow.load:
             self._move(flow, answered)
         flow.stage = Stage.OPEN
-        answered.note_answer()
+        answered.note_answer(now_s)
 
     def _close(self, flow: Flow) -> None:
         flow.stage = Stage.CLOSED
