--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -6,6 +6,8 @@
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "events.md"
 SOURCES = pathlib.Path(events.__file__).parent
+# The adapter's programs log some of the product's events.
+FOLDERS = (SOURCES, SOURCES.parent / "platform")
 
 
 def test_page_matches_the_code():
@@ -19,7 +21,8 @@
 
 
 def test_every_event_is_logged_somewhere():
-    text = "".join(path.read_text() for path in SOURCES.rglob("*.py") if path.name != "events.py")
+    paths = [path for folder in FOLDERS for path in folder.rglob("*.py")]
+    text = "".join(path.read_text() for path in paths if path.name != "events.py")
     for name, value in vars(events).items():
         if isinstance(value, events.Event):
             assert f".{name}" in text, name
--- a/zinniaspoke/choosing.py
+++ b/zinniaspoke/choosing.py
@@ -9,10 +9,12 @@
 
 DEFAULT_POLICY = "least_open"
 # Openings in a row without an answer; one alone may be a lost packet.
-FAILURE_LIMIT = 2
+FAILURE_LIMIT = 1
 # Time without new flows after that; doubled with each further failure.
 SUSPICION_S = 1.0
 SUSPICION_MOST_S = 4.0
+# A target that answered an opening this lately is there, whatever became of its announcements.
+ANSWER_TRUST_S = 3.0
 # A target that has just started works more slowly; one open flow weighs as much as this many.
 COLD_FACTOR = 1.6
 
@@ -28,6 +30,8 @@
         failure_count: Openings in a row without an answer.
         suspected_until_s: No new flows before, while others can take them.
         is_near: Whether it is in this VM's availability zone.
+        is_silent: Whether its announcements have stopped.
+        answered_s: When it last answered an opening.
     """
 
     target: roster.Target
@@ -36,6 +40,8 @@
     failure_count: int = 0
     suspected_until_s: float = -1e9
     is_near: bool = False
+    is_silent: bool = False
+    answered_s: float = -1e9
 
     def note_failure(self, now_s: float) -> bool:
         """Counts an opening without an answer.
@@ -55,8 +61,13 @@
         self.suspected_until_s = now_s + length_s
         return not was_suspected
 
-    def note_answer(self) -> None:
-        """An opening was answered."""
+    def note_answer(self, now_s: float) -> None:
+        """An opening was answered.
+
+        Args:
+            now_s: Current time.
+        """
+        self.answered_s = now_s
         self.failure_count = 0
         self.suspected_until_s = -1e9
 
@@ -103,13 +114,20 @@
 
 
 def usable(loads: Sequence[Load], now_s: float) -> Sequence[Load]:
-    """Leaves out suspected targets, unless that leaves none.
+    """Leaves out suspected and silent targets, unless that leaves none.
+
+    Announcements stop while a target looks for a control VM that it can reach, so a silent target
+    is still better than none.
 
     Args:
         loads: Targets that take new work.
         now_s: Current time.
     """
-    return [load for load in loads if load.is_usable(now_s)] or loads
+    answering = [load for load in loads if load.is_usable(now_s)]
+    present = [
+        load for load in answering if not load.is_silent or now_s - load.answered_s < ANSWER_TRUST_S
+    ]
+    return present or answering or loads
 
 
 @register("random")
--- a/zinniaspoke/daemons/lean.py
+++ b/zinniaspoke/daemons/lean.py
@@ -6,6 +6,9 @@
 import time
 from collections.abc import Callable
 
+from zinniaspoke import errors, events, lean_settings, ports
+from zinniaspoke.adapters import exposition, page
+
 # The settings file may change without a signal.
 SETTINGS_POLL_S = 1.0
 
@@ -15,6 +18,34 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+async def serve_metrics(
+    config: lean_settings.Common, render: Callable[[], bytes], output: ports.LogPort
+) -> list[asyncio.AbstractServer]:
+    """Serves counters where the settings say; a process goes on without them.
+
+    Args:
+        config: The settings.
+        render: Returns the text.
+        output: Where a port that cannot be opened is told.
+
+    Returns:
+        The server, if there is one.
+    """
+    if config.metrics is None:
+        return []
+
+    def answer(request: page.Request) -> page.Response:
+        if request.path != exposition.PATH:
+            return page.Response(status=404)
+        return page.Response(status=200, body=render(), content_type=exposition.CONTENT_TYPE)
+
+    try:
+        return [await page.listen(answer, *config.metrics)]
+    except errors.SettingsError as error:
+        output.write(events.METRICS_UNSERVED, error.step, error.peer, error.reason)
+        return []
+
+
 class Signals:
     """Turns signals and changes of the settings file into calls.
 
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -8,6 +8,7 @@
     consensus,
     control,
     coordinator,
+    counters,
     errors,
     events,
     feed,
@@ -17,7 +18,7 @@
     roster,
     storage,
 )
-from zinniaspoke.adapters import links, page
+from zinniaspoke.adapters import exposition, links, page
 from zinniaspoke.daemons import lean
 from zinniaspoke.proto import control_pb2
 
@@ -44,6 +45,7 @@
         """
         self.config = config
         self._output = output
+        self.counters = counters.Counters()
         self._followers: dict[links.Link, coordinator.Follower] = {}
         self._controls_in: dict[links.Link, str] = {}
         self._diallers: dict[str, links.Dialler] = {}
@@ -91,11 +93,26 @@
         self._servers = [
             await links.listen(self, config.host, config.peer_port, lean.now_s),
             await page.listen(handler, *config.calls),
+            *await lean.serve_metrics(config, self.metrics, self._output),
         ]
         self._sync_diallers(now_s)
         self._task = asyncio.get_running_loop().create_task(self._tick_forever())
         self._output.write(events.PROCESS_STARTED, "start", config.name, config.peer_name)
 
+    def metrics(self) -> bytes:
+        """Returns what this process counted, as text."""
+        replica = self.core.replica
+        gauges = {
+            "rules_number": self.core.history.number,
+            "targets": len(self._coordinator.targets),
+            "followers": len(self._followers),
+            "term": replica.term,
+            "commit_index": replica.commit_index,
+            "is_leader": float(replica.role is consensus.Role.LEADER),
+            "is_voter": float(replica.is_voter),
+        }
+        return exposition.render(self.counters, gauges)
+
     @property
     def core(self) -> control.Control:
         """The agreement."""
@@ -155,7 +172,7 @@
         try:
             self._take_frame(link, kind, payload, lean.now_s())
         except errors.StorageError as error:
-            self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
+            self._tell_disk(error)
         except (errors.DatagramError, ValueError) as error:
             self._output.write(events.DATAGRAM_REFUSED, kind.name, link.peer, str(error))
         self._flush()
@@ -188,6 +205,7 @@
         Args:
             target: The target.
         """
+        self.counters.events["announcements"] += 1
         self._coordinator.announce(target, lean.now_s())
         self._flush()
 
@@ -209,7 +227,16 @@
         Returns:
             The answer, or None where nothing certain can be said in time.
         """
-        deadline_s = lean.now_s() + CALL_LIMIT_S
+        started_s = lean.now_s()
+        answer = await self._call_until(file, started_s + CALL_LIMIT_S)
+        name = "read" if file is None else "submit"
+        self.counters.histograms[name].note(lean.now_s() - started_s)
+        self.counters.events[f"{name}_{'unsure' if answer is None else 'answered'}"] += 1
+        return answer
+
+    async def _call_until(
+        self, file: control_pb2.RuleFile | None, deadline_s: float
+    ) -> control_pb2.CallReply | None:
         while (left_s := deadline_s - lean.now_s()) > 0:
             waiting = self._start_call(file)
             if waiting is not None:
@@ -248,9 +275,13 @@
                 return self.core.read(now_s)
             return self.core.submit(file.number, file.content, now_s, file.source)
         except errors.StorageError as error:
-            self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
+            self._tell_disk(error)
             return None
 
+    def _tell_disk(self, error: errors.StorageError) -> None:
+        self.counters.events["disk_failures"] += 1
+        self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
+
     def _take_call(self, link: links.Link, call: control_pb2.Call, now_s: float) -> None:
         ticket = self._enter(call.file if call.HasField("file") else None)
         if ticket is not None:
@@ -316,7 +347,7 @@
             try:
                 self.core.tick(now_s)
             except errors.StorageError as error:
-                self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
+                self._tell_disk(error)
             self._coordinator.tick(now_s)
             self._sync_diallers(now_s)
             for link in (*self._followers, *self._controls_in):
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -17,7 +17,7 @@
     steering,
     subscription,
 )
-from zinniaspoke.adapters import links, page
+from zinniaspoke.adapters import exposition, links, page
 from zinniaspoke.daemons import lean
 
 TICK_S = 0.1
@@ -54,6 +54,14 @@
             kind: What the packet does.
         """
 
+    @abc.abstractmethod
+    def describe(self, data: bytes) -> str:
+        """Names a packet's flow for the log: CALLER:PORT>ROUTE:PORT.
+
+        Args:
+            data: The datagram from the fabric.
+        """
+
     @abc.abstractmethod
     def refusal(self, data: bytes) -> tuple[str, bytes]:
         """Builds the answer to an opening that nobody can take.
@@ -117,6 +125,7 @@
         self._socket.setblocking(False)
         self._socket.bind(self.config.packets)
         self._servers = [await page.listen(handler, *self.config.ready)]
+        self._servers += await lean.serve_metrics(self.config, self.metrics, self._output)
         self._follow()
         loop.add_reader(self._socket.fileno(), self._read_packets)
         self._task = loop.create_task(self._tick_forever())
@@ -158,12 +167,24 @@
             return
         found = self.steering.steer(packet, now_s)
         if isinstance(found, errors.Nothing):
-            self._drop(found.reason)
-            if found in steering.REFUSALS:
-                host, answer = self._codec.refusal(data)
-                self._send(answer, (host, self.config.packets[1]))
+            self._turn_away(data, found)
             return
         self._send(self._codec.to_target(data, found, packet.kind), found.address)
+        if packet.kind is steering.Kind.OPENING:
+            detail = f"{self.steering.explain(packet.flow)}, rules {self.view.rules.number}"
+            self._output.write(events.FLOW_OPENED, "steer", self._codec.describe(data), detail)
+
+    def _turn_away(self, data: bytes, reason: errors.Nothing) -> None:
+        self._drop(reason.reason)
+        detail = (
+            f"{reason.reason}, rules {self.view.rules.number}, {len(self.view.targets)} targets"
+        )
+        if reason in steering.REFUSALS:
+            host, answer = self._codec.refusal(data)
+            self._send(answer, (host, self.config.packets[1]))
+            self._output.write(events.FLOW_REFUSED, "steer", self._codec.describe(data), detail)
+        else:
+            self._output.write(events.FLOW_DROPPED, "steer", self._codec.describe(data), detail)
 
     def _drop(self, reason: str) -> None:
         self.counters.drops[reason] += 1
@@ -174,6 +195,16 @@
         except OSError as error:
             self._drop(f"send_{error.errno}")
 
+    def metrics(self) -> bytes:
+        """Returns what this process counted, as text."""
+        gauges = {
+            "rules_number": self.view.rules.number,
+            "targets": len(self.view.targets),
+            "flow_records": len(self.steering),
+            "is_ready": float(self._is_ready),
+        }
+        return exposition.render(self.counters, gauges)
+
     # Control VMs
 
     def _follow(self) -> None:
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -118,6 +118,21 @@
     def __len__(self) -> int:
         return len(self._flows)
 
+    def explain(self, flow_key: bytes) -> str:
+        """Tells on what a flow's last decision rests, for the log.
+
+        Args:
+            flow_key: The flow.
+        """
+        flow = self._flows.get(flow_key)
+        if flow is None:
+            return "no record"
+        load = flow.load
+        return (
+            f"target {flow.target.identity} at {flow.target.address[0]} for {flow.target.service}, "
+            f"{load.open_count} open, {load.failure_count} unanswered"
+        )
+
     def _refresh(self) -> None:
         """Builds the look-up tables anew after a change of targets or rules."""
         self._revision = self._view.revision
@@ -231,6 +246,8 @@
             self._move(flow, answered)
         flow.stage = Stage.OPEN
         answered.note_answer(now_s)
+        self.counters.histograms["handshake"].note(now_s - flow.sent_s)
+        self.counters.events["flows_opened"] += 1
 
     def _close(self, flow: Flow) -> None:
         flow.stage = Stage.CLOSED
