Follow control VMs that were not tried for longest; test feed, coordinator, subscription and programs

Cause: a place given up was filled by lot, so that a VM in a zone cut off could go on missing the one control VM that it reaches (found by the test).

--- /dev/null
+++ b/tests/test_coordinator.py
@@ -0,0 +1,131 @@
+"""Control VMs beside the agreement: spread of announcements, completeness, what followers hear."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from test_roster import target
+
+from zinniaspoke import control, coordinator, errors, feed, log, roster, storage
+
+DRAINING, ENDED = roster.State.DRAINING, roster.State.ENDED
+INTERVAL_S = 1.2
+
+
+def make(name="a:1", now_s=0.0):
+    core = control.Control(
+        name=name,
+        founders=("a:1", "b:1", "c:1"),
+        entries=log.Log(files=storage.MemoryStorage(rng=random.Random(1))),
+        rng=random.Random(1),
+        now_s=now_s,
+        numbering="highest",
+        voter_count=3,
+        is_open=True,
+    )
+    table = roster.Roster(silent_after_s=3 * INTERVAL_S, retain_s=60.0)
+    return coordinator.Coordinator(
+        name=name, core=core, targets=table, announcement_interval_s=INTERVAL_S, now_s=now_s
+    )
+
+
+def wired(update, now_s=0.0):
+    """Sends an update through the codec."""
+    return feed.decode(feed.encode(update, now_s), "peer", now_s)
+
+
+def test_change_is_told_at_once_and_a_heartbeat_without_news_later():
+    vm = make()
+    vm.announce(target(sequence=1), 0.05)
+    assert len(vm.take_gossip(0.05).sightings) == 1
+    vm.announce(target(sequence=2), 0.1)
+    assert vm.take_gossip(0.1) is None
+    assert len(vm.take_gossip(0.1 + coordinator.GOSSIP_S).sightings) == 1
+    vm.announce(target(sequence=3, state=DRAINING), 0.5)
+    assert vm.take_gossip(0.5).sightings[0].target.state is DRAINING
+
+
+def test_leave_heard_by_one_control_vm_reaches_the_followers_of_another():
+    first, second, follower = make("a:1"), make("b:1"), coordinator.Follower()
+    for vm in (first, second):
+        vm.announce(target(), 0.0)
+    second.update_for(follower, 0.0)
+    first.take_gossip(0.0)
+    first.end("i-1", 0.1)
+    second.receive_gossip(wired(first.take_gossip(0.1), 0.1), 0.1)
+    told = second.update_for(follower, 0.1)
+    assert [s.target.state for s in told.sightings] == [ENDED]
+
+
+def test_what_was_heard_elsewhere_is_not_passed_on_again():
+    first, second = make("a:1"), make("b:1")
+    first.announce(target(), 0.0)
+    second.receive_gossip(wired(first.take_gossip(0.0)), 0.0)
+    assert len(second.targets) == 1
+    assert second.take_gossip(9.0) is None
+
+
+def test_follower_gets_all_at_first_then_only_changes_then_heartbeats():
+    vm, follower = make(), coordinator.Follower()
+    vm.announce(target("i-1"), 0.0)
+    vm.announce(target("i-2", address=("10.0.0.2", 80)), 0.0)
+    assert len(vm.update_for(follower, 0.0).sightings) == 2
+    assert vm.update_for(follower, 0.1) is None
+    vm.announce(target("i-2", address=("10.0.0.2", 80), sequence=2, state=DRAINING), 0.2)
+    assert [s.target.identity for s in vm.update_for(follower, 0.2).sightings] == ["i-2"]
+    assert vm.update_for(follower, 0.2 + coordinator.HEARTBEAT_S).sightings == ()
+
+
+def test_table_is_complete_once_all_had_time_to_announce_or_a_complete_peer_told():
+    vm, old = make(now_s=0.0), make("b:1", now_s=-100.0)
+    assert not vm.is_complete(2 * INTERVAL_S - 0.1)
+    vm.receive_gossip(wired(old.whole_table(0.0)), 0.0)
+    assert vm.is_complete(0.1)
+    assert make().is_complete(2 * INTERVAL_S + 0.1)
+
+
+def test_age_of_what_a_peer_tells_counts_against_silence():
+    vm, peer = make("a:1"), make("b:1")
+    peer.announce(target(), 0.0)
+    vm.receive_gossip(wired(peer.whole_table(10.0), 10.0), 10.0)
+    assert vm.targets.find("i-1").is_silent
+
+
+sightings = st.builds(
+    feed.Sighting,
+    target=st.builds(
+        target,
+        identity=st.text(min_size=1, max_size=8),
+        born_ms=st.integers(0, 2**53),
+        sequence=st.integers(0, 2**40),
+        state=st.sampled_from(list(roster.State)),
+    ),
+    age_s=st.floats(0, 100).map(lambda x: round(x, 2)),
+    is_silent=st.booleans(),
+)
+
+
+@given(st.lists(sightings, max_size=4), st.one_of(st.none(), st.just(b"rules")), st.booleans())
+def test_update_survives_the_wire(told, content, flag):
+    update = feed.Update(
+        sightings=tuple(told),
+        controls=("a:1", "b:2"),
+        number=2**40,
+        content=content,
+        is_current=flag,
+        is_complete=not flag,
+    )
+    assert wired(update) == update
+
+
+@given(st.binary(max_size=300))
+def test_bytes_that_are_no_update_are_refused(data):
+    with pytest.raises(errors.DatagramError):
+        feed.decode(data, "peer", 0.0)
+
+
+@pytest.mark.parametrize("body", [b"[]", b"5", b'{"targets":[[1]]}', b'{"targets":5}', b"null"])
+def test_json_that_is_no_update_is_refused(body):
+    with pytest.raises(errors.DatagramError):
+        feed.decode(body, "peer", 0.0)
--- /dev/null
+++ b/tests/test_lean_daemons.py
@@ -0,0 +1,217 @@
+"""The lean programs on real sockets: three control VMs, an entry VM, a target and a caller."""
+
+import asyncio
+import json
+import socket
+
+import control as control_program
+import packet
+import pytest
+from test_platform import BEAT, document, route
+
+from zinniaspoke import events, lean_settings, ports
+from zinniaspoke.adapters import page
+from zinniaspoke.daemons import lean_control, lean_entry
+
+HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+LIMIT_S = 20.0
+
+
+class Notes(ports.LogPort):
+    """Keeps events."""
+
+    def __init__(self):
+        self.written = []
+
+    def write(self, event, step, peer, detail):
+        self.written.append((event, peer, detail))
+
+
+def free_port(host):
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+class Site:
+    """Processes of one deployment in one loop."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.peer_port = free_port(HOSTS[0])
+        self.call_port = free_port(HOSTS[0])
+        self.controls = {}
+        self.notes = Notes()
+
+    def common(self, host):
+        return {
+            "name": host,
+            "zone": "a",
+            "host": host,
+            "peer_port": self.peer_port,
+            "seeds": tuple(f"{seed}:{self.peer_port}" for seed in HOSTS),
+            "announcement_interval_s": 0.2,
+            "flow_life_s": 60.0,
+            "contact_s": 4.0,
+            "stop_limit_s": 3.0,
+        }
+
+    async def start_control(self, host):
+        program = lean_control.LeanControl(
+            config=lean_settings.Control(
+                **self.common(host),
+                data_folder=str(self.folder / host),
+                calls=(host, self.call_port),
+                may_found=True,
+                lost_disk_count=1,
+                numbering="highest",
+            ),
+            output=self.notes,
+        )
+        await program.start(control_program.Calls(program=program, output=self.notes).answer)
+        self.controls[host] = program
+
+    async def start_entry(self, host="127.0.0.21"):
+        self.entry = lean_entry.LeanEntry(
+            config=lean_settings.Entry(
+                **self.common(host), packets=(host, self.call_port), ready=(host, self.call_port)
+            ),
+            codec=packet.Codec(),
+            output=self.notes,
+        )
+        await self.entry.start(lambda request: page.Response(status=200))
+
+    async def call(self, host, method, path, body=b""):
+        reader, writer = await asyncio.open_connection(host, self.call_port)
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
+        writer.write(head.encode() + b"Connection: close\r\n\r\n" + body)
+        answer = await reader.read()
+        writer.close()
+        head, _, body = answer.partition(b"\r\n\r\n")
+        return int(head.split()[1]), body
+
+    async def until(self, condition):
+        for _ in range(int(LIMIT_S / 0.05)):
+            found = condition()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"not in time; last events: {self.notes.written[-20:]}")
+
+    async def put(self, data, hosts=HOSTS):
+        statuses = []
+        for host in (*hosts, *hosts, *hosts):
+            status, _ = await self.call(host, "PUT", "/api/config", data)
+            statuses.append(status)
+            if status != 503:
+                return status
+            await asyncio.sleep(0.2)
+        return statuses[-1]
+
+    async def stop(self):
+        for program in self.controls.values():
+            await program.leave()
+
+
+@pytest.fixture
+def site(tmp_path):
+    return Site(tmp_path)
+
+
+async def founded(site):
+    for host in HOSTS:
+        await site.start_control(host)
+    await site.until(lambda: any(c.core.replica.leader for c in site.controls.values()))
+
+
+def test_manifest_is_accepted_anywhere_read_anywhere_and_outlives_a_restart(site):
+    async def play():
+        await founded(site)
+        first, second = document(route(), version=5), document(route(timeout_ms=7), version=9)
+        for data in (first, second):
+            assert await site.put(data) == 200
+        for host in HOSTS:
+            status, body = await site.call(host, "GET", "/api/config")
+            assert (status, body) == (200, second)
+        assert await site.put(first) == 200
+        assert await site.put(b"{") == 400
+        assert (await site.call(HOSTS[1], "GET", "/api/config"))[1] == second
+        await site.stop()
+        await asyncio.sleep(0.1)
+        site.peer_port, site.call_port = free_port(HOSTS[0]), site.call_port
+        site.controls = {}
+
+    asyncio.run(play())
+
+
+def test_read_is_503_where_no_majority_confirms_it(site):
+    async def play():
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        for host in HOSTS[1:]:
+            program = site.controls.pop(host)
+            await program.leave()
+            for dialler in program._diallers.values():
+                dialler.close()
+            for link in (*program._controls_in, *program._followers):
+                link.abort()
+        status, _ = await site.call(HOSTS[0], "GET", "/api/config")
+        assert status == 503
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_packet_reaches_the_target_with_its_number_and_token_and_the_rest_is_refused(site):
+    async def play():
+        loop = asyncio.get_running_loop()
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        await site.start_entry()
+        target = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        target.bind(("127.0.0.31", 0))
+        target.setblocking(False)
+        caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        caller.bind(("127.0.0.41", site.call_port))
+        caller.setblocking(False)
+        address = f"127.0.0.31:{target.getsockname()[1]}"
+        beat = json.dumps({**BEAT, "address": address}).encode()
+        path = "/api/instances/i-7f3a91c2"
+        assert (await site.call(HOSTS[1], "PUT", path, beat))[0] == 200
+        assert (await site.call(HOSTS[1], "PUT", path, b"{}"))[0] == 400
+        await site.until(lambda: site.entry.is_ready and len(site.entry.view.targets))
+
+        def opening(port):
+            head = bytearray(34)
+            head[18] = packet.SYN
+            head[22:26], head[26:30] = socket.inet_aton("127.0.0.41"), bytes((198, 18, 0, 1))
+            head[30:34] = port.to_bytes(2, "big") + (4001).to_bytes(2, "big")
+            return bytes(head)
+
+        entry = ("127.0.0.21", site.call_port)
+        caller.sendto(opening(443), entry)
+        data = await asyncio.wait_for(loop.sock_recv(target, 2048), 5.0)
+        assert int.from_bytes(data[:8], "big") == 0x7F3A91C2
+        token = site.entry.view.targets.find("i-7f3a91c2").target.token
+        assert int.from_bytes(data[16:20], "big") == token
+        caller.sendto(opening(9999), entry)
+        answer = await asyncio.wait_for(loop.sock_recv(caller, 2048), 5.0)
+        assert answer[18] == packet.RST
+        caller.sendto(b"junk", entry)
+        await site.until(lambda: site.entry.counters.drops["packet_short"] == 1)
+        assert (await site.call(HOSTS[2], "DELETE", path))[0] == 200
+        await site.until(
+            lambda: site.entry.view.targets.find("i-7f3a91c2").target.state.name == "ENDED"
+        )
+        text = site.entry.metrics().decode()
+        assert 'zinniaspoke_dropped_total{reason="packet_short"} 1' in text
+        assert "zinniaspoke_rules_number 5" in text
+        assert any(e is events.FLOW_OPENED for e, *_ in site.notes.written)
+        await site.entry.leave()
+        target.close()
+        caller.close()
+        await site.stop()
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/test_subscription.py
@@ -0,0 +1,79 @@
+"""Whom an entry VM follows and what it believes."""
+
+import random
+
+import pytest
+from test_steering import Vm, target
+
+from zinniaspoke import feed, subscription
+
+
+def make(*seeds, now_s=0.0):
+    return subscription.Subscription(
+        seeds=seeds, contact_s=4.0, retain_s=60.0, rng=random.Random(1), now_s=now_s
+    )
+
+
+def test_several_are_followed_but_no_more_than_needed():
+    view = make(*(f"c{n}:1" for n in range(9)))
+    assert len(view.choose(0.0)) == subscription.FOLLOW_COUNT
+
+
+def test_those_out_of_touch_give_their_places_to_all_others_in_turn():
+    names = tuple(f"c{n}:1" for n in range(1, 8))
+    view = make("c1:1", "c2:1")
+    followed, now_s = set(), 0.0
+    while now_s < 2 * subscription.OLD_LIMIT_S + 1.0:
+        view.take("c1:1", feed.Update(controls=names, is_current=True), now_s)
+        now_s += 0.1
+        followed |= set(view.choose(now_s))
+        assert "c1:1" in view.choose(now_s)
+    assert followed == set(names)
+
+
+def test_not_ready_without_rules_or_table():
+    vm = Vm()
+    vm.take(target(1), number=0)
+    assert not vm.view.is_ready(vm.now_s)
+
+
+def test_ready_once_a_current_control_vm_confirmed_rules_and_table():
+    vm = Vm()
+    vm.take(target(1), number=1, content=b"10.9.0.1:443 tcp ledger # t: t")
+    assert vm.view.is_ready(vm.now_s)
+
+
+def test_rules_that_nobody_confirms_are_taken_after_a_while_in_a_zone_cut_off():
+    vm = Vm()
+    vm.take(target(1), number=1, content=b"10.9.0.1:443 tcp ledger # t: t", is_current=False)
+    assert not vm.view.is_ready(vm.now_s)
+    assert vm.view.is_ready(vm.now_s + subscription.UNCONFIRMED_S + 0.1)
+
+
+@pytest.mark.parametrize(
+    ("services", "is_ready"), [(("ledger",), False), (("ledger", "archive"), True)]
+)
+def test_table_that_nobody_has_whole_will_do_once_each_service_has_a_target(services, is_ready):
+    """All control VMs have restarted: announcements come in one by one."""
+    vm = Vm()
+    found = [target(n, service) for n, service in enumerate(services, 1)]
+    rules = b"10.9.0.1:443 tcp ledger # t: t\n10.9.0.1:444 tcp archive # t: t"
+    vm.take(*found, number=1, content=rules, is_complete=False)
+    assert vm.view.is_ready(vm.now_s) is is_ready
+
+
+def test_rules_never_go_back():
+    vm = Vm()
+    vm.take(number=5, content=b"10.9.0.1:443 tcp ledger # t: t")
+    vm.take(number=4, content=b"10.9.0.1:443 tcp archive # t: t")
+    assert vm.view.rules.number == 5
+
+
+def test_ended_targets_are_kept_for_their_flows_and_forgotten_in_the_end():
+    vm = Vm(target(1), target(2))
+    vm.take(target(1, state=subscription.roster.State.ENDED, sequence=9), number=1)
+    vm.run(50.0)
+    assert vm.view.targets.find("i-1") is not None
+    vm.run(20.0)
+    assert vm.view.targets.find("i-1") is None
+    assert vm.view.targets.find("i-2") is not None
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -81,6 +81,7 @@
         self._known: set[str] = set()
         self._feeds: dict[str, Feed] = {}
         self._chosen: dict[str, float] = {}
+        self._dropped_s: dict[str, float] = {}
         self._started_s = now_s
         self._ticked_s = now_s
         self._woke_s = -1e9
@@ -114,8 +115,11 @@
         for name, since_s in list(self._chosen.items()):
             if name not in known or (now_s - since_s > OLD_LIMIT_S and self._is_old(name, now_s)):
                 del self._chosen[name]
+                self._dropped_s[name] = now_s
         others = sorted(known - self._chosen.keys())
         self._rng.shuffle(others)
+        # Those that were not tried for longest come first.
+        others.sort(key=lambda name: self._dropped_s.get(name, -1e9))
         for name in others[: max(0, FOLLOW_COUNT - len(self._chosen))]:
             self._chosen[name] = now_s
         return list(self._chosen)
