Keep to targets that answered lately where all are suspected

Cause: in a zone cut off, the only target left was suspected when it was overloaded, and new flows went to dead ones as often as to it.

--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -263,6 +263,35 @@
     assert choose([bad], 10.1) is bad
 
 
+def test_overloaded_target_of_a_zone_cut_off_is_not_traded_for_dead_ones():
+    """Outlier ejection must not turn away from the only target that answers at all."""
+    vm = Vm(*(target(n) for n in range(1, 8)))
+    now_s, alone = vm.now_s, "i-1"
+    served = 0
+    for number in range(200):
+        vm.now_s = now_s + number * 0.05
+        chosen = vm.packet(flow(number))
+        # Every fifth opening is lost at the target that is left as well.
+        if chosen.identity == alone and number % 5:
+            vm.packet(flow(number), steering.Kind.DATA, chosen.token)
+            served += number >= 100
+        late = number - 4
+        if late >= 0 and vm.core._flows[flow(late)].stage is steering.Stage.OPENING:
+            vm.packet(flow(late))
+    assert served >= 70
+
+
+def test_opening_lost_at_a_target_that_answers_others_does_not_suspect_it():
+    vm = Vm(target(1), target(2))
+    lost = vm.packet(flow(1)).identity
+    vm.now_s += 0.1
+    while vm.open(flow(round(vm.now_s * 100))).identity != lost:
+        vm.now_s += 0.01
+    vm.now_s += 0.2
+    vm.packet(flow(1))
+    assert vm.core.suspected == []
+
+
 events = st.tuples(
     st.sampled_from(["syn", "data", "fin", "rst", "stray"]), st.integers(0, 4), st.integers(0, 5)
 )
--- a/zinniaspoke/choosing.py
+++ b/zinniaspoke/choosing.py
@@ -127,7 +127,19 @@
     present = [
         load for load in answering if not load.is_silent or now_s - load.answered_s < ANSWER_TRUST_S
     ]
-    return present or answering or loads
+    return present or answering or _most_credible(loads, now_s)
+
+
+def _most_credible(loads: Sequence[Load], now_s: float) -> Sequence[Load]:
+    """Of suspected targets, those that answered lately, else those that failed least.
+
+    In a zone cut off with one target of its own, that one is overloaded and the others are gone.
+    """
+    answered = [load for load in loads if now_s - load.answered_s < ANSWER_TRUST_S]
+    if answered:
+        return answered
+    least = min(load.failure_count for load in loads)
+    return [load for load in loads if load.failure_count == least]
 
 
 @register("random")
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -221,7 +221,9 @@
         flow.seen_s = now_s
         if flow.stage is Stage.OPEN or now_s - flow.sent_s < REPEAT_LEAST_S:
             return flow.target
-        if flow.load.note_failure(now_s):
+        # A target that answered another opening meanwhile is there; this one was lost.
+        is_mute = flow.load.answered_s < flow.sent_s
+        if is_mute and flow.load.note_failure(now_s):
             self.suspected.append(flow.target)
         flow.sent_s = now_s
         other = self._place(packet, now_s, avoid=flow.load)
