End a program that cannot go on; answer open calls before a stop; found with one control VM

Cause, each seen by reading and shown by a test: an exception in a program's loop left a process that answered but did nothing; one in a request's handler was answered 400, which refuses; a stop cut open operators' calls off; the last word of a target that a restarted control VM did not know yet was acknowledged; a deployment with one control VM never founded its set.

--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -5,7 +5,7 @@
 from zinniaspoke import consensus, control, log, storage
 
 STEP_S = 0.02
-NAMES = {3: ("a", "b", "c"), 5: ("a", "b", "c", "d", "e")}
+NAMES = {1: ("a",), 3: ("a", "b", "c"), 5: ("a", "b", "c", "d", "e")}
 RULE = b"10.0.0.1:80 tcp ledger # ana asked, for the counters: "
 
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -58,6 +58,14 @@
     assert [s.target.state for s in told.sightings] == [ENDED]
 
 
+def test_last_word_of_a_target_that_others_may_know_is_not_acknowledged():
+    vm = make()
+    assert not vm.end("i-9", 0.1)
+    assert vm.end("i-9", 2 * INTERVAL_S + 0.1)
+    vm.announce(target(), 3.0)
+    assert vm.end("i-1", 3.1)
+
+
 def test_what_was_heard_elsewhere_is_not_passed_on_again():
     first, second = make("a:1"), make("b:1")
     first.announce(target(), 0.0)
--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -11,7 +11,7 @@
 
 from zinniaspoke import events, lean_settings, ports
 from zinniaspoke.adapters import page
-from zinniaspoke.daemons import lean_control, lean_entry
+from zinniaspoke.daemons import lean, lean_control, lean_entry
 
 HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 LIMIT_S = 20.0
@@ -215,3 +215,52 @@
         await site.stop()
 
     asyncio.run(play())
+
+
+def test_handler_that_fails_is_answered_503_and_not_400():
+    async def play():
+        told = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: told.append(context))
+
+        async def fail_later(request):
+            raise ValueError("later")
+
+        def fail(request):
+            if request.path == "/later":
+                return fail_later(request)
+            raise ValueError("at once")
+
+        port = free_port("127.0.0.1")
+        server = await page.listen(fail, "127.0.0.1", port)
+        for path in ("/now", "/later"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            assert (await reader.read()).startswith(b"HTTP/1.1 503")
+            writer.close()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"no request at all\r\n\r\n")
+        assert (await reader.read()).startswith(b"HTTP/1.1 400")
+        writer.close()
+        server.close()
+        assert len(told) >= 2
+
+    asyncio.run(play())
+
+
+def test_program_that_cannot_go_on_ends_with_an_error():
+    class Broken(lean.Program):
+        async def leave(self):
+            raise AssertionError("not asked to end")
+
+    async def play():
+        async def fail():
+            raise ValueError("broken")
+
+        program, notes = Broken(), Notes()
+        program.task = asyncio.ensure_future(fail())
+        signals = lean.Signals(path="/nonexistent", reload=lambda: None)
+        with pytest.raises(SystemExit):
+            await lean.run(program, signals, notes)
+        assert notes.written[0][0] is events.PROCESS_FAILED
+
+    asyncio.run(play())
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -125,6 +125,14 @@
     cluster.run_until(settled(cluster, 6))
 
 
+def test_a_single_control_vm_founds_alone():
+    cluster = replicas.Cluster(count=1, numbering="highest", voter_count=1, is_open=True)
+    cluster.accept(3)
+    cluster.crash("a")
+    cluster.start("a")
+    cluster.accept(4)
+
+
 def test_empty_vm_that_may_not_found_founds_nothing():
     cluster = replicas.Cluster(is_open=True, voter_count=3, may_found=False)
     cluster.run(10.0)
--- a/zinniaspoke/adapters/page.py
+++ b/zinniaspoke/adapters/page.py
@@ -84,6 +84,8 @@
         self._restart_timer()
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            self._fail(error)
         except httptools.HttpParserError:
             self._reply(Response(status=400), is_kept=False)
 
@@ -116,7 +118,18 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _reply_later(self, answer: Awaitable[Response], is_kept: bool) -> None:
-        self._reply(await answer, is_kept)
+        try:
+            response = await answer
+        except Exception as error:
+            self._fail(error)
+            raise
+        self._reply(response, is_kept)
+
+    def _fail(self, error: Exception) -> None:
+        """Tells of a fault in a handler; the caller learns that nothing certain can be said."""
+        context = {"message": "handler of a request failed", "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+        self._reply(Response(status=503), is_kept=False)
 
     def _reply(self, response: Response, is_kept: bool) -> None:
         if self._transport is None or self._transport.is_closing():
--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -260,6 +260,8 @@
         if now_s - self._join_s < JOIN_S:
             return
         self._join_s = now_s
+        if len(self._founders) == 1:
+            self._found_when_all_are_there()
         known = {name_of(member) for member in self._others()}
         for name in sorted({*self.contacts, *known, *self._learnt_names} - {self._name}):
             self._send(name, join_request=control_pb2.JoinRequest())
@@ -298,9 +300,14 @@
             self._empty_members.pop(name, None)
             return
         self._empty_members[name] = message.sender
+        self._found_when_all_are_there()
+
+    def _found_when_all_are_there(self) -> None:
+        """The founder that is first by name founds, so that two sets never arise."""
+        if not (self._may_found and self._log.is_empty and self._founders):
+            return
         others = [founder for founder in self._founders if founder != self._name]
-        is_first = self._may_found and self._name == min(self._founders)
-        if is_first and self._log.is_empty and all(o in self._empty_members for o in others):
+        if self._name == min(self._founders) and all(o in self._empty_members for o in others):
             self._found()
 
     def _found(self) -> None:
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -84,18 +84,23 @@
         detail = f"{how}: {target.state.name.lower()} {target.service} sequence {target.sequence}"
         self._note(event, f"{target.identity}/{target.born_ms}", detail)
 
-    def end(self, identity: str, now_s: float) -> None:
+    def end(self, identity: str, now_s: float) -> bool:
         """Takes a target's last word that arrived here.
 
         Args:
             identity: The target's name.
             now_s: Current time.
+
+        Returns:
+            Whether it may be acknowledged: not while others may know a target that this VM does
+            not know yet.
         """
         entry = self.targets.end(identity, now_s)
         if isinstance(entry, errors.Nothing):
-            return
+            return self.is_complete(now_s)
         self._fresh.add(identity)
         self._note(events.TARGET_ENDED, identity, entry.target.service)
+        return True
 
     def has_urgent_gossip(self) -> bool:
         """Whether something changed that other control VMs must hear of at once."""
--- a/zinniaspoke/daemons/lean.py
+++ b/zinniaspoke/daemons/lean.py
@@ -1,5 +1,6 @@
 """What the lean entry and control programs share: clock, stop signals, settings that change."""
 
+import abc
 import asyncio
 import os
 import signal
@@ -46,6 +47,41 @@
         return []
 
 
+class Program(abc.ABC):
+    """What ``run`` needs of a program.
+
+    Attributes:
+        task: Runs as long as the program can go on.
+    """
+
+    task: asyncio.Task[None] | None
+
+    @abc.abstractmethod
+    async def leave(self) -> None:
+        """Ends a program in good order."""
+
+
+async def run(program: Program, signals: "Signals", output: ports.LogPort) -> None:
+    """Waits until a started program is asked to end, or cannot go on.
+
+    Args:
+        program: The program.
+        signals: Tells that it is asked to end.
+        output: Where its failure is told.
+
+    Raises:
+        SystemExit: It could not go on; it is to be started again.
+    """
+    stopping = asyncio.ensure_future(signals.stop.wait())
+    await asyncio.wait((stopping, program.task), return_when=asyncio.FIRST_COMPLETED)
+    if not program.task.done():
+        await program.leave()
+        return
+    error = program.task.exception()
+    output.write(events.PROCESS_FAILED, "run", type(error).__name__, str(error))
+    raise SystemExit(1)
+
+
 class Signals:
     """Turns signals and changes of the settings file into calls.
 
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -33,8 +33,14 @@
 _FINAL = (control_pb2.SUBMIT_OUTCOME_YES, control_pb2.SUBMIT_OUTCOME_NO)
 
 
-class LeanControl(links.Owner):
-    """Joins the coordinator with sockets and the disk."""
+class LeanControl(links.Owner, lean.Program):
+    """Joins the coordinator with sockets and the disk.
+
+    Attributes:
+        config: The settings.
+        counters: Counts of this process.
+        task: Runs as long as the program can go on.
+    """
 
     def __init__(self, *, config: lean_settings.Control, output: ports.LogPort) -> None:
         """Prepares the program; opens nothing.
@@ -55,7 +61,8 @@
         self._passed: dict[int, tuple[links.Link, int]] = {}
         self._next_ticket = 0
         self._servers: list[asyncio.AbstractServer] = []
-        self._task: asyncio.Task[None] | None = None
+        self.task: asyncio.Task[None] | None = None
+        self._open_call_count = 0
 
     async def start(self, handler: page.Handler) -> None:
         """Reads back the state, opens the ports and takes part.
@@ -96,7 +103,7 @@
             *await lean.serve_metrics(config, self.metrics, self._output),
         ]
         self._sync_diallers(now_s)
-        self._task = asyncio.get_running_loop().create_task(self._tick_forever())
+        self.task = asyncio.get_running_loop().create_task(self._tick_forever())
         self._output.write(events.PROCESS_STARTED, "start", config.name, config.peer_name)
 
     def metrics(self) -> bytes:
@@ -209,14 +216,18 @@
         self._coordinator.announce(target, lean.now_s())
         self._flush()
 
-    def end(self, identity: str) -> None:
+    def end(self, identity: str) -> bool:
         """Takes a target's last word.
 
         Args:
             identity: The target's name.
+
+        Returns:
+            Whether it may be acknowledged.
         """
-        self._coordinator.end(identity, lean.now_s())
+        is_taken = self._coordinator.end(identity, lean.now_s())
         self._flush()
+        return is_taken
 
     async def call(self, file: control_pb2.RuleFile | None) -> control_pb2.CallReply | None:
         """Submits a rule file or reads the one in force, through the leader.
@@ -228,7 +239,11 @@
             The answer, or None where nothing certain can be said in time.
         """
         started_s = lean.now_s()
-        answer = await self._call_until(file, started_s + CALL_LIMIT_S)
+        self._open_call_count += 1
+        try:
+            answer = await self._call_until(file, started_s + CALL_LIMIT_S)
+        finally:
+            self._open_call_count -= 1
         name = "read" if file is None else "submit"
         self.counters.histograms[name].note(lean.now_s() - started_s)
         self.counters.events[f"{name}_{'unsure' if answer is None else 'answered'}"] += 1
@@ -355,15 +370,17 @@
             self._flush()
 
     async def leave(self) -> None:
-        """Gives leadership away before a planned stop, then ends."""
+        """Takes no more calls, answers those that are open, gives leadership away, then ends."""
+        for server in self._servers:
+            server.close()
+        deadline_s = lean.now_s() + TRANSFER_LIMIT_S
+        while self._open_call_count and lean.now_s() < deadline_s:
+            await asyncio.sleep(TICK_S)
         if self.core.replica.begin_transfer(lean.now_s()):
             self._flush()
-            deadline_s = lean.now_s() + TRANSFER_LIMIT_S
             while lean.now_s() < deadline_s:
                 if self.core.replica.role is not consensus.Role.LEADER:
                     break
                 await asyncio.sleep(TICK_S)
-        self._task.cancel()
-        for server in self._servers:
-            server.close()
+        self.task.cancel()
         self._output.write(events.PROCESS_STOPPED, "stop", self.config.name, "")
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -74,8 +74,14 @@
         """
 
 
-class LeanEntry(links.Owner):
-    """Joins steering and subscription with sockets."""
+class LeanEntry(links.Owner, lean.Program):
+    """Joins steering and subscription with sockets.
+
+    Attributes:
+        view: Rules and targets.
+        steering: Decides where packets go.
+        task: Runs as long as the program can go on.
+    """
 
     def __init__(
         self, *, config: lean_settings.Entry, codec: PacketCodec, output: ports.LogPort
@@ -104,6 +110,7 @@
         self._is_ready = False
         self._packet_s = 0.0
         self._servers: list[asyncio.AbstractServer] = []
+        self.task: asyncio.Task[None] | None = None
 
     @property
     def counters(self) -> counters.Counters:
@@ -128,7 +135,7 @@
         self._servers += await lean.serve_metrics(self.config, self.metrics, self._output)
         self._follow()
         loop.add_reader(self._socket.fileno(), self._read_packets)
-        self._task = loop.create_task(self._tick_forever())
+        self.task = loop.create_task(self._tick_forever())
         self._output.write(events.PROCESS_STARTED, "start", self.config.name, self.config.host)
 
     def reload(self, config: lean_settings.Entry) -> None:
@@ -282,5 +289,5 @@
             if spent_s >= least_s and lean.now_s() - self._packet_s > LEAVE_QUIET_S:
                 break
             await asyncio.sleep(TICK_S)
-        self._task.cancel()
+        self.task.cancel()
         self._output.write(events.PROCESS_STOPPED, "stop", self.config.name, "")
