--- a/zinniaspoke/adapters/links.py
+++ b/zinniaspoke/adapters/links.py
@@ -13,7 +13,7 @@
 SILENCE_S = 1.3
 # An attempt at a VM without power hangs; a few round trips between regions are enough otherwise.
 CONNECT_LIMIT_S = 0.5
-RETRY_S = 0.2
+RETRY_S = 0.1
 # A manifest of 256 KiB with its rules, and room for a snapshot of it.
 FRAME_LIMIT_BYTES = 8 * 1024 * 1024
 # A peer that leaves this much unread is treated as gone.
