--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -246,14 +246,21 @@
 
 
 def loaded(program):
+    """Starts a program without settings, so that it ends once all is loaded."""
     script = (
-        f"import runpy, sys; sys.path.insert(0, 'platform'); sys.argv = ['{program}'];"
-        f"runpy.run_path('platform/{program}', run_name='looked_at');"
-        "print(' '.join(m for m in sys.modules if sys.modules[m] is not None))"
+        "import atexit, runpy, sys; sys.path.insert(0, 'platform');"
+        "atexit.register(lambda: print(*(m for m in sys.modules if sys.modules[m])));"
+        f"runpy.run_path('platform/{program}', run_name='__main__')"
     )
     done = subprocess.run(
-        [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
+        [sys.executable, "-c", script],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        env={settings.VARIABLE: "/nonexistent"},
     )
+    assert "SettingsError" in done.stderr
     return set(done.stdout.split())
 
 
--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from zinniaspoke import errors, log, voters
+from zinniaspoke import errors, joining, log, voters
 from zinniaspoke.proto import control_pb2
 
 HEARTBEAT_S = 0.1
@@ -21,7 +21,6 @@
 # disturbing one that is there.
 FIRST_ELECTION_LEAST_S = 0.15
 FIRST_ELECTION_MOST_S = 0.45
-JOIN_S = 0.3
 # A replica without a leader for this long asks to join, in case it was left out of the set.
 FORGOTTEN_S = 2.0
 ENTRY_BATCH_COUNT = 64
@@ -94,6 +93,7 @@
 
     Attributes:
         member: This replica as NAME/IDENTITY.
+        joining: What it knows of replicas outside the set.
         role: What it is now.
         leader: Name of the leader, or empty.
         commit_index: Last entry known to be committed.
@@ -128,11 +128,9 @@
             may_found: Whether the first set may be made by this process.
         """
         self._name = name
-        self._founders = founders
-        self._is_open = is_open
-        self._may_found = may_found
-        self.contacts: tuple[str, ...] = founders
-        self._learnt_names: set[str] = set()
+        self.joining = joining.Joining(
+            name=name, founders=founders, is_open=is_open, may_found=may_found
+        )
         self._log = entries
         self._rng = rng
         self.member = f"{name}/{entries.identity}"
@@ -152,9 +150,6 @@
         self._heard_leader_s = -1e9
         self._has_heard_leader = False
         self._deadline_s = 0.0
-        self._join_s = -1e9
-        self._empty_members: dict[str, str] = {}
-        self._applicants: dict[str, float] = {}
         self._transfer_to = ""
         self._set = control_pb2.ReplicaSet()
         self._set_index = 0
@@ -254,17 +249,12 @@
         if self.member not in (*self._set.voters, *self._set.learners):
             return True
         is_led = self.role is Role.LEADER or now_s - self._heard_leader_s < FORGOTTEN_S
-        return self._is_open and not is_led
+        return self.joining.is_open and not is_led
 
     def _ask_to_join(self, now_s: float) -> None:
-        if now_s - self._join_s < JOIN_S:
-            return
-        self._join_s = now_s
-        if len(self._founders) == 1:
-            self._found_when_all_are_there()
-        known = {name_of(member) for member in self._others()}
-        for name in sorted({*self.contacts, *known, *self._learnt_names} - {self._name}):
+        for name in self.joining.whom_to_ask(self._others(), now_s):
             self._send(name, join_request=control_pb2.JoinRequest())
+        self._found_when_all_are_there()
 
     @_handles("join_request")
     def _on_join_request(self, message: control_pb2.ReplicaMessage, now_s: float) -> None:
@@ -272,7 +262,7 @@
         if message.sender in known:
             self._offer_first_set(message.sender)
         if self.role is Role.LEADER and message.sender not in known:
-            self._applicants[message.sender] = now_s
+            self.joining.take_request(message.sender, now_s)
         reply = control_pb2.JoinReply(
             is_empty=self._log.is_empty, member_names=sorted({name_of(m) for m in known})
         )
@@ -293,28 +283,17 @@
 
     @_handles("join_reply")
     def _on_join_reply(self, message: control_pb2.ReplicaMessage, now_s: float) -> None:
-        name = name_of(message.sender)
-        if self._is_open:
-            self._learnt_names = set(message.join_reply.member_names)
-        if not message.join_reply.is_empty:
-            self._empty_members.pop(name, None)
-            return
-        self._empty_members[name] = message.sender
+        reply = message.join_reply
+        self.joining.take_reply(message.sender, reply.is_empty, reply.member_names)
         self._found_when_all_are_there()
 
     def _found_when_all_are_there(self) -> None:
-        """The founder that is first by name founds, so that two sets never arise."""
-        if not (self._may_found and self._log.is_empty and self._founders):
+        """Writes the first set."""
+        others = self.joining.other_founders() if self._log.is_empty else None
+        if others is None:
             return
-        others = [founder for founder in self._founders if founder != self._name]
-        if self._name == min(self._founders) and all(o in self._empty_members for o in others):
-            self._found()
-
-    def _found(self) -> None:
-        """Writes the first set; only the first founder does, once all are there and empty."""
-        founding = [self.member, *self._empty_members.values()]
         snapshot = control_pb2.Snapshot(
-            last_index=1, replica_set=control_pb2.ReplicaSet(voters=sorted(founding))
+            last_index=1, replica_set=control_pb2.ReplicaSet(voters=sorted([self.member, *others]))
         )
         self._adopt_snapshot(snapshot)
         for member in self._others():
@@ -579,7 +558,7 @@
         standings = {
             member: self._standing(progress, now_s) for member, progress in self._progress.items()
         }
-        changed = self._repair.next_change(current, standings, self._waiting_applicants(now_s))
+        changed = self._repair.next_change(current, standings, self.joining.applicants(now_s))
         if changed is not None:
             replica_set = control_pb2.ReplicaSet(voters=changed.voters, learners=changed.learners)
             self._append(control_pb2.LogEntry(replica_set=replica_set), now_s)
@@ -592,11 +571,6 @@
             is_caught_up=progress.match_index >= self.commit_index,
         )
 
-    def _waiting_applicants(self, now_s: float) -> list[str]:
-        fresh = {m: s for m, s in self._applicants.items() if now_s - s <= 3 * JOIN_S}
-        self._applicants = fresh
-        return [m for m in fresh if self._is_open or name_of(m) in self._founders]
-
     # Following
 
     def receive(self, message: control_pb2.ReplicaMessage, now_s: float) -> None:
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -172,7 +172,7 @@
     def controls(self) -> tuple[str, ...]:
         """Returns the names of the control VMs that are known, this one included."""
         replica = self.core.replica
-        return tuple(sorted({self.name, *replica.contacts, *replica.member_names()}))
+        return tuple(sorted({self.name, *replica.joining.contacts, *replica.member_names()}))
 
     def update_for(self, follower: Follower, now_s: float) -> feed.Update | None:
         """Returns what a follower has to be told now, or None.
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -132,7 +132,7 @@
             config: The new settings.
         """
         self.config = config
-        self.core.replica.contacts = config.seeds
+        self.core.replica.joining.contacts = config.seeds
         self._sync_diallers(lean.now_s())
         self._output.write(
             events.SETTINGS_CHANGED, "reload", config.name, f"seeds {','.join(config.seeds)}"
--- /dev/null
+++ b/zinniaspoke/joining.py
@@ -0,0 +1,103 @@
+"""How replicas find each other: the founders of the first set, and those that join later."""
+
+from collections.abc import Iterable
+
+from zinniaspoke import voters
+
+JOIN_S = 0.3
+# An applicant that has not asked again for this long is forgotten; it may have ended.
+APPLICANT_KEEP_S = 3 * JOIN_S
+
+
+class Joining:
+    """What a replica knows of others outside the set.
+
+    Attributes:
+        contacts: Names to ask where no member is known.
+        is_open: Whether replicas that are no founders may join.
+    """
+
+    def __init__(
+        self, *, name: str, founders: tuple[str, ...], is_open: bool, may_found: bool
+    ) -> None:
+        """Starts with nobody known.
+
+        Args:
+            name: This replica's name.
+            founders: Names of the replicas of the first set.
+            is_open: Whether replicas that are no founders may join.
+            may_found: Whether the first set may be made by this process.
+        """
+        self._name = name
+        self._founders = founders
+        self._may_found = may_found
+        self.is_open = is_open
+        self.contacts = founders
+        self._learnt_names: frozenset[str] = frozenset()
+        self._empty_members: dict[str, str] = {}
+        self._applicants: dict[str, float] = {}
+        self._asked_s = -1e9
+
+    # Of a replica that is in no set
+
+    def whom_to_ask(self, members: Iterable[str], now_s: float) -> list[str]:
+        """Returns the names to ask now, none where that was done a moment ago.
+
+        Args:
+            members: Members of the set as far as it is known.
+            now_s: Current time.
+        """
+        if now_s - self._asked_s < JOIN_S:
+            return []
+        self._asked_s = now_s
+        known = {voters.name_of(member) for member in members}
+        return sorted({*self.contacts, *known, *self._learnt_names} - {self._name})
+
+    def take_reply(self, member: str, is_empty: bool, member_names: Iterable[str]) -> None:
+        """Takes the answer of someone who was asked.
+
+        Args:
+            member: Who answered.
+            is_empty: Whether it has never held anything.
+            member_names: Members that it knows.
+        """
+        if self.is_open:
+            self._learnt_names = frozenset(member_names)
+        if is_empty:
+            self._empty_members[voters.name_of(member)] = member
+        else:
+            self._empty_members.pop(voters.name_of(member), None)
+
+    def other_founders(self) -> list[str] | None:
+        """Returns the other founders, once all are there and this replica is to found.
+
+        Only the founder that is first by name founds, so that two sets never arise.
+        """
+        if not self._may_found or not self._founders or self._name != min(self._founders):
+            return None
+        others = [name for name in self._founders if name != self._name]
+        if not all(name in self._empty_members for name in others):
+            return None
+        return [self._empty_members[name] for name in others]
+
+    # Of a leader
+
+    def take_request(self, member: str, now_s: float) -> None:
+        """Notes that a replica asks to be admitted.
+
+        Args:
+            member: The replica.
+            now_s: Current time.
+        """
+        if self.is_open or voters.name_of(member) in self._founders:
+            self._applicants[member] = now_s
+
+    def applicants(self, now_s: float) -> list[str]:
+        """Returns the replicas that asked lately.
+
+        Args:
+            now_s: Current time.
+        """
+        kept = {m: s for m, s in self._applicants.items() if now_s - s <= APPLICANT_KEEP_S}
+        self._applicants = kept
+        return list(kept)
