Read settings again where they could not be used; forget calls that nobody waits for

Cause, found by reading: an exception while the changed settings were read ended the watch of the file for good, and a leader that went away left the call's entry behind. A test of the first.

--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -9,7 +9,7 @@
 import pytest
 from test_platform import BEAT, document, route
 
-from zinniaspoke import events, lean_settings, ports
+from zinniaspoke import errors, events, lean_settings, ports
 from zinniaspoke.adapters import page
 from zinniaspoke.daemons import lean, lean_control, lean_entry
 
@@ -258,9 +258,37 @@
 
         program, notes = Broken(), Notes()
         program.task = asyncio.ensure_future(fail())
-        signals = lean.Signals(path="/nonexistent", reload=lambda: None)
+        signals = lean.Signals(path="/nonexistent", reload=lambda: None, output=notes)
         with pytest.raises(SystemExit):
             await lean.run(program, signals, notes)
         assert notes.written[0][0] is events.PROCESS_FAILED
 
     asyncio.run(play())
+
+
+def test_settings_read_while_half_written_are_told_and_read_again(tmp_path, monkeypatch):
+    monkeypatch.setattr(lean, "SETTINGS_POLL_S", 0.02)
+    path, taken, notes = tmp_path / "settings.json", [], Notes()
+    path.write_text("{}")
+
+    def reload():
+        if not path.read_text().endswith("}"):
+            raise errors.SettingsError(step="read settings", peer=str(path), reason="cut short")
+        taken.append(path.read_text())
+
+    async def play():
+        lean.Signals(path=str(path), reload=reload, output=notes)
+        path.write_text('{"seeds": ')
+        for _ in range(100):
+            await asyncio.sleep(0.02)
+            if notes.written:
+                break
+        assert notes.written[0][0] is events.SETTINGS_REFUSED
+        path.write_text('{"seeds": 1}')
+        for _ in range(100):
+            await asyncio.sleep(0.02)
+            if taken:
+                break
+        assert taken == ['{"seeds": 1}']
+
+    asyncio.run(play())
--- a/zinniaspoke/daemons/lean.py
+++ b/zinniaspoke/daemons/lean.py
@@ -89,21 +89,23 @@
         stop: Set once the process is asked to end.
     """
 
-    def __init__(self, *, path: str, reload: Callable[[], None]) -> None:
+    def __init__(self, *, path: str, reload: Callable[[], None], output: ports.LogPort) -> None:
         """Installs the handlers.
 
         Args:
             path: The settings file.
             reload: Called when it has changed.
+            output: Where settings that cannot be used are told.
         """
         self.stop = asyncio.Event()
         self._path = path
         self._reload = reload
+        self._output = output
         self._stamp = self._read_stamp()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
-        loop.add_signal_handler(signal.SIGHUP, reload)
+        loop.add_signal_handler(signal.SIGHUP, self._try_reload)
         loop.call_later(SETTINGS_POLL_S, self._poll)
 
     def _read_stamp(self) -> tuple[int, int]:
@@ -113,9 +115,17 @@
             return 0, 0
         return status.st_mtime_ns, status.st_size
 
+    def _try_reload(self) -> bool:
+        """Reads the settings again; what cannot be used, such as half a file, is tried again."""
+        try:
+            self._reload()
+        except errors.SettingsError as error:
+            self._output.write(events.SETTINGS_REFUSED, error.step, error.peer, error.reason)
+            return False
+        return True
+
     def _poll(self) -> None:
         stamp = self._read_stamp()
-        if stamp not in (self._stamp, (0, 0)):
+        if stamp not in (self._stamp, (0, 0)) and self._try_reload():
             self._stamp = stamp
-            self._reload()
         asyncio.get_running_loop().call_later(SETTINGS_POLL_S, self._poll)
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -258,9 +258,16 @@
                 done, _ = await asyncio.wait((waiting,), timeout=left_s)
                 if done and waiting.result().reply.outcome in _FINAL:
                     return waiting.result()
+                self._forget(waiting)
             await asyncio.sleep(CALL_RETRY_S)
         return None
 
+    def _forget(self, waiting: asyncio.Future[control_pb2.CallReply]) -> None:
+        """Drops a call that nobody waits for; its leader may be gone."""
+        for table in (self._local, self._remote):
+            for ticket in [t for t, future in table.items() if future is waiting]:
+                del table[ticket]
+
     def _start_call(
         self, file: control_pb2.RuleFile | None
     ) -> asyncio.Future[control_pb2.CallReply] | None:
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -63,6 +63,7 @@
 FLOW_OPENED = _define(404, "flow_opened", "An opening was sent on, with what decided it.")
 FLOW_DROPPED = _define(405, "flow_dropped", "A packet was dropped, since its target is not known.")
 SETTINGS_CHANGED = _define(4, "settings_changed", "The settings file changed and was read again.")
+SETTINGS_REFUSED = _define(6, "settings_refused", "Changed settings cannot be used; the old stay.")
 METRICS_UNSERVED = _define(5, "metrics_unserved", "The metrics address could not be opened.")
 PROCESS_STARTED = _define(1, "process_started", "A process opened its sockets.")
 PROCESS_STOPPED = _define(2, "process_stopped", "A process closed its sockets.")
