Drop state that nothing reads; say in the field's words what comments said in others

The zone of a target was noted on the packet path and never used; the comment on how many unanswered openings suspect a target spoke of two, the constant is one. No decision changes.

--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -52,7 +52,7 @@
         self.view = subscription.Subscription(
             seeds=("c1:1", "c2:1"), contact_s=4.0, retain_s=60.0, rng=rng, now_s=self.now_s
         )
-        self.core = steering.Steering(view=self.view, zone="a", rng=rng)
+        self.core = steering.Steering(view=self.view, rng=rng)
         if targets:
             self.take(*targets, number=1, content=rules)
 
--- a/zinniaspoke/adapters/links.py
+++ b/zinniaspoke/adapters/links.py
@@ -14,7 +14,7 @@
 # An attempt at a VM without power hangs; a few round trips between regions are enough otherwise.
 CONNECT_LIMIT_S = 0.5
 RETRY_S = 0.1
-# A manifest of 256 KiB with its rules, and room for a snapshot of it.
+# A rule file of 256 KiB with its source, and room for a snapshot of it.
 FRAME_LIMIT_BYTES = 8 * 1024 * 1024
 # A peer that leaves this much unread is treated as gone.
 BACKLOG_LIMIT_BYTES = 4 * 1024 * 1024
@@ -39,7 +39,7 @@
 
     @abc.abstractmethod
     def link_opened(self, link: "Link") -> None:
-        """A connection stands.
+        """A connection is open.
 
         Args:
             link: The connection.
--- a/zinniaspoke/adapters/page.py
+++ b/zinniaspoke/adapters/page.py
@@ -8,7 +8,7 @@
 
 from zinniaspoke import errors
 
-# Larger than any manifest that the settings allow; a sender of more is cut off.
+# Eight times the largest body that operators send; a sender of more is cut off.
 BODY_LIMIT_BYTES = 2 * 1024 * 1024
 # An open connection that sends nothing for this long is closed; connections go silent for good.
 IDLE_S = 20.0
--- a/zinniaspoke/choosing.py
+++ b/zinniaspoke/choosing.py
@@ -8,9 +8,11 @@
 from zinniaspoke import roster
 
 DEFAULT_POLICY = "least_open"
-# Openings in a row without an answer; one alone may be a lost packet.
+# Openings in a row without an answer. One is enough while other targets can take the work:
+# docs/design/crest.md measured it against two.
 FAILURE_LIMIT = 1
-# Time without new flows after that; doubled with each further failure.
+# Time without new flows after that, doubled with each further failure up to the time by which
+# a silent target is known to be one (three announcements of about 1.2 s).
 SUSPICION_S = 1.0
 SUSPICION_MOST_S = 4.0
 # A target that answered an opening this lately is there, whatever became of its announcements.
@@ -29,7 +31,6 @@
         placed_s: When it was last given a flow.
         failure_count: Openings in a row without an answer.
         suspected_until_s: No new flows before, while others can take them.
-        is_near: Whether it is in this VM's availability zone.
         is_silent: Whether its announcements have stopped.
         answered_s: When it last answered an opening.
     """
@@ -39,7 +40,6 @@
     placed_s: float = -1e9
     failure_count: int = 0
     suspected_until_s: float = -1e9
-    is_near: bool = False
     is_silent: bool = False
     answered_s: float = -1e9
 
--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -25,7 +25,7 @@
 FORGOTTEN_S = 2.0
 ENTRY_BATCH_COUNT = 64
 SNAPSHOT_AFTER_COUNT = 256
-# Entries of manifests are large; the log in memory stays below this.
+# Rule files are large; the log in memory stays below this.
 SNAPSHOT_AFTER_BYTES = 512 * 1024
 
 _HANDLERS: dict[str, Callable] = {}
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -104,7 +104,7 @@
             rng=rng,
             now_s=lean.now_s(),
         )
-        self.steering = steering.Steering(view=self.view, zone=config.zone, rng=rng)
+        self.steering = steering.Steering(view=self.view, rng=rng)
         self._diallers: dict[str, links.Dialler] = {}
         self._is_leaving = False
         self._is_ready = False
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -32,7 +32,7 @@
         controls: Names of the control VMs, HOST:PORT.
         number: Number of the rule file that the sender holds.
         content: The rule file's bytes, where the reader is not known to hold it.
-        is_current: Whether the sender is in touch with the agreement's leader.
+        is_current: Whether the sender hears a leader with a majority.
         is_complete: Whether the sender knows all targets that others know.
     """
 
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -17,7 +17,7 @@
         seeds: Control VMs to start from, HOST:PORT of their peer port.
         announcement_interval_s: How often targets announce themselves.
         flow_life_s: Flows may be dropped when they are older.
-        contact_s: After a trouble, time within which everything is to be in touch again.
+        contact_s: After a fault, time within which all reachable VMs are connected again.
         stop_limit_s: A planned stop has to end by then.
         metrics: Where counters are served, or None.
     """
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -91,7 +91,6 @@
         self,
         *,
         view: subscription.Subscription,
-        zone: str,
         rng: random.Random,
         policy: str = choosing.DEFAULT_POLICY,
     ) -> None:
@@ -99,12 +98,10 @@
 
         Args:
             view: Rules and targets.
-            zone: Availability zone of this VM.
             rng: Seeded random source.
             policy: Name of the placement policy.
         """
         self._view = view
-        self._zone = zone
         self._choose = choosing.create(policy, rng)
         self.counters = counters.Counters()
         self.suspected: list[roster.Target] = []
@@ -148,7 +145,6 @@
             if load is None:
                 load = self._loads[target.token] = choosing.Load(target=target)
             load.target = target
-            load.is_near = target.zone == self._zone
             load.is_silent = not self._view.is_alive(target.identity)
             if target.state is roster.State.READY:
                 self._by_service.setdefault(target.service, []).append(load)
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -13,7 +13,7 @@
 OLD_LIMIT_S = 1.5
 # One that told nothing for this long has no say any more; three of its heartbeats.
 SILENCE_S = 1.3
-# A VM that stood still longer than this has missed updates.
+# A VM that was suspended for longer than this has missed updates.
 GAP_S = 0.8
 # After such a gap new flows wait this long at most for an update; callers repeat after 0.2 s.
 CATCH_UP_S = 0.6
@@ -28,7 +28,7 @@
 
     Attributes:
         heard_s: When it last told anything.
-        current_s: When it last was in touch with the leader.
+        current_s: When it last heard a leader with a majority.
         number: Rule number that it held.
         is_complete: Whether it knows all targets.
         silent: Targets that it has not heard for a while.
@@ -66,7 +66,7 @@
 
         Args:
             seeds: Control VMs to start from.
-            contact_s: Within this time all that can be reached is in touch.
+            contact_s: After this time a target that nobody hears counts as silent.
             retain_s: Targets that end are kept this long, for their open flows.
             rng: Seeded random source.
             now_s: Current time.
@@ -193,7 +193,7 @@
         return live or list(self._feeds.values())
 
     def _find_dead(self, now_s: float) -> frozenset[str]:
-        """Targets that no control VM in touch hears any more."""
+        """Targets that no reachable control VM hears any more."""
         live = self._live_feeds(now_s)
         silent = set().union(*(f.silent for f in live)) if live else set()
         return frozenset(
@@ -203,7 +203,7 @@
         )
 
     def is_alive(self, identity: str) -> bool:
-        """Whether a target still announces itself, as far as anyone in touch knows.
+        """Whether a target still announces itself, as far as any reachable control VM knows.
 
         Args:
             identity: The target's name.
@@ -211,7 +211,7 @@
         return identity not in self._dead
 
     def is_fresh(self, now_s: float) -> bool:
-        """Whether new flows may be placed: not on what was known before this VM stood still.
+        """Whether new flows may be placed: not on what was known before a suspension.
 
         Args:
             now_s: Current time.
@@ -247,7 +247,7 @@
         return bool(self._feeds) and self.rules.current.services() <= live
 
     def note_time(self, now_s: float) -> None:
-        """Notices that this VM stood still; called before anything else is done.
+        """Notices that this VM was suspended; called before anything else is done.
 
         Args:
             now_s: Current time.
