Let openings wait at the entry VM while all targets are full, the newest first

Cause: after a closing fault the first entry VM in rotation gets the openings of all zones with the pent-up ones, and put 22 flows on each target of two slots. Change: a target has four places a slot, counted by work under way instead of open connections. What finds no place waits; the newest is sent on first, what waits in vain is refused at once. An opening without a follow-up holds its place for 0.2 s. Policies choose among usable targets only; steering leaves the others out, so the policies' test asks choosing.usable first. Tests that are not about the limit have targets with many slots.

--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -12,6 +12,8 @@
 LEDGER = bytes((10, 9, 0, 1)) + (443).to_bytes(2, "big")
 ARCHIVE = bytes((10, 9, 0, 1)) + (444).to_bytes(2, "big")
 NOWHERE = bytes((10, 9, 0, 9)) + (443).to_bytes(2, "big")
+# Where the limit of a target's queue is not what is tested.
+ROOMY = 1000
 READY, DRAINING, ENDED = roster.State.READY, roster.State.DRAINING, roster.State.ENDED
 
 
@@ -23,7 +25,7 @@
         service=service,
         address=(f"10.0.0.{number}", 80),
         zone=others.pop("zone", "a"),
-        slot_count=2,
+        slot_count=others.pop("slot_count", ROOMY),
         state=state,
         **others,
     )
@@ -69,10 +71,14 @@
             self.view.tick(self.now_s)
             self.core.tick(self.now_s)
 
-    def packet(self, flow, kind=steering.Kind.OPENING, token=0, route=LEDGER):
-        made = steering.Packet(flow=flow, route=route, kind=kind, token=token)
+    def packet(self, flow, kind=steering.Kind.OPENING, token=0, route=LEDGER, **values):
+        made = steering.Packet(flow=flow, route=route, kind=kind, token=token, **values)
         return self.core.steer(made, self.now_s)
 
+    def finish(self, flow, chosen):
+        """The caller has the first bytes of the answer."""
+        self.packet(flow, steering.Kind.DATA, chosen.token, acknowledged=1)
+
     def open(self, flow, route=LEDGER):
         """Opens a flow whose target answers at once."""
         chosen = self.packet(flow, route=route)
@@ -238,19 +244,35 @@
     vm.open(flow(2))
     vm.packet(flow(1), steering.Kind.END, ended.token)
     load = next(iter(vm.core._loads.values()))
-    assert load.open_count == 1
+    assert load.running_count == 1
     vm.run(steering.LOAD_IDLE_S + 1.0)
-    assert load.open_count == 0
+    assert load.running_count == 0
     vm.run(steering.RECORD_KEEP_S)
     assert len(vm.core) == 0
 
 
+def test_only_work_under_way_counts_as_load_and_a_further_request_counts_again():
+    """A connection is not a slot: flows between requests and downloads being sent out take none."""
+    vm = Vm(target(1))
+    chosen = vm.open(flow(1))
+    load = next(iter(vm.core._loads.values()))
+    vm.packet(flow(1), steering.Kind.DATA, chosen.token, has_payload=True)
+    assert load.running_count == 1
+    vm.finish(flow(1), chosen)
+    vm.packet(flow(1), steering.Kind.DATA, chosen.token, acknowledged=9)
+    assert load.running_count == 0
+    vm.packet(flow(1), steering.Kind.DATA, chosen.token, acknowledged=9, has_payload=True)
+    assert load.running_count == 1
+    vm.packet(flow(1), steering.Kind.END, chosen.token, acknowledged=12)
+    assert load.running_count == 0
+
+
 def test_least_open_spreads_over_equal_targets():
     """Join the shortest queue."""
     vm = Vm(*(target(n) for n in range(1, 8)))
     for number in range(70):
         vm.open(flow(number))
-    assert {load.open_count for load in vm.core._loads.values()} == {10}
+    assert {load.running_count for load in vm.core._loads.values()} == {10}
 
 
 @pytest.mark.parametrize("policy", ["random", "least_open"])
@@ -259,8 +281,8 @@
     good, bad = choosing.Load(target=target(1)), choosing.Load(target=target(2))
     for _ in range(choosing.FAILURE_LIMIT):
         bad.note_failure(10.0)
-    assert all(choose([good, bad], 10.1) is good for _ in range(20))
-    assert choose([bad], 10.1) is bad
+    assert all(choose(choosing.usable([good, bad], 10.1), 10.1) is good for _ in range(20))
+    assert choose(choosing.usable([bad], 10.1), 10.1) is bad
 
 
 def test_overloaded_target_of_a_zone_cut_off_is_not_traded_for_dead_ones():
--- a/zinniaspoke/choosing.py
+++ b/zinniaspoke/choosing.py
@@ -17,6 +17,10 @@
 SUSPICION_MOST_S = 4.0
 # A target that answered an opening this lately is there, whatever became of its announcements.
 ANSWER_TRUST_S = 3.0
+# Places of a target for each piece of work that it runs at once: one runs, and what waits behind
+# three others still starts within about 0.1 s on the platform (work of 26 to 33 ms). Targets queue
+# a few more and then turn work away, for which a caller has only two more tries.
+PLACES_PER_SLOT = 4
 # A target that has just started works more slowly; one open flow weighs as much as this many.
 COLD_FACTOR = 1.6
 
@@ -27,7 +31,7 @@
 
     Attributes:
         target: Which target.
-        open_count: Flows placed from here that are not known to have ended.
+        running_count: Openings and work under way that were placed from here.
         placed_s: When it was last given a flow.
         failure_count: Openings in a row without an answer.
         suspected_until_s: No new flows before, while others can take them.
@@ -36,13 +40,26 @@
     """
 
     target: roster.Target
-    open_count: int = 0
+    running_count: int = 0
     placed_s: float = -1e9
     failure_count: int = 0
     suspected_until_s: float = -1e9
     is_silent: bool = False
     answered_s: float = -1e9
 
+    @property
+    def place_count(self) -> int:
+        """How much work may be there at once from here."""
+        return self.target.slot_count * PLACES_PER_SLOT
+
+    @property
+    def has_place(self) -> bool:
+        """Whether it may get one more.
+
+        One that answers nothing has no queue to be kept short, and needs openings to be found back.
+        """
+        return self.failure_count > 0 or self.running_count < self.place_count
+
     def note_failure(self, now_s: float) -> bool:
         """Counts an opening without an answer.
 
@@ -108,7 +125,7 @@
         rng: Seeded random source.
 
     Returns:
-        A function that picks one of at least one load.
+        A function that picks one of at least one load, all of them usable.
     """
     return _POLICIES[name](rng)
 
@@ -146,8 +163,8 @@
 def _make_random(rng: random.Random) -> Policy:
     """Any target with equal chance."""
 
-    def choose(loads: Sequence[Load], now_s: float) -> Load:
-        return rng.choice(usable(loads, now_s))
+    def choose(loads: Sequence[Load], _now_s: float) -> Load:
+        return rng.choice(loads)
 
     return choose
 
@@ -158,8 +175,8 @@
 
     def choose(loads: Sequence[Load], now_s: float) -> Load:
         best, best_cost = [], float("inf")
-        for load in usable(loads, now_s):
-            cost = float(load.open_count + 1)
+        for load in loads:
+            cost = float(load.running_count + 1)
             if now_s < load.target.warm_at_s:
                 cost *= COLD_FACTOR
             if cost < best_cost:
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -161,11 +161,12 @@
             try:
                 data = receive(DATAGRAM_BYTES)
             except BlockingIOError:
-                return
+                break
             except OSError as error:
                 self._drop(f"receive_{error.errno}")
-                return
+                break
             self._handle(data, now_s)
+        self._release(now_s)
 
     def _handle(self, data: bytes, now_s: float) -> None:
         packet = self._codec.decode(data)
@@ -178,14 +179,31 @@
             return
         self._send(self._codec.to_target(data, found, packet.kind), found.address)
         if packet.kind is steering.Kind.OPENING:
-            detail = f"{self.steering.explain(packet.flow)}, rules {self.view.rules.number}"
-            self._output.write(events.FLOW_OPENED, "steer", self._codec.describe(data), detail)
+            self._tell_opened(packet, "steer")
+
+    def _tell_opened(self, packet: steering.Packet, step: str) -> None:
+        detail = f"{self.steering.explain(packet.flow)}, rules {self.view.rules.number}"
+        peer = self._codec.describe(packet.datagram)
+        self._output.write(events.FLOW_OPENED, step, peer, detail)
+
+    def _release(self, now_s: float) -> None:
+        """Sends on openings that waited for a place, and gives up those that wait in vain."""
+        for packet, target in self.steering.take_released(now_s):
+            data = self._codec.to_target(packet.datagram, target, packet.kind)
+            self._send(data, target.address)
+            self._tell_opened(packet, "release")
+        for packet, reason in self.steering.take_given_up():
+            self._turn_away(packet.datagram, reason)
 
     def _turn_away(self, data: bytes, reason: errors.Nothing) -> None:
-        self._drop(reason.reason)
         detail = (
             f"{reason.reason}, rules {self.view.rules.number}, {len(self.view.targets)} targets"
         )
+        if reason is steering.WAITING:
+            self.counters.events[reason.reason] += 1
+            self._output.write(events.FLOW_WAITS, "steer", self._codec.describe(data), detail)
+            return
+        self._drop(reason.reason)
         if reason in steering.REFUSALS:
             host, answer = self._codec.refusal(data)
             self._send(answer, (host, self.config.packets[1]))
@@ -266,6 +284,7 @@
             now_s = lean.now_s()
             self.view.tick(now_s)
             self.steering.tick(now_s)
+            self._release(now_s)
             self._follow()
             self._tell()
 
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -4,15 +4,22 @@
 later packet of the flow, so any entry VM finds the flow's target without a word to another.
 """
 
+import collections
 import enum
 import random
 
 import attrs
 
-from zinniaspoke import choosing, counters, errors, hashing, packets, roster, subscription
+from zinniaspoke import backlog, choosing, counters, errors, hashing, packets, roster, subscription
 
 # Callers repeat an opening after 0.2 s; what comes sooner was held up on the way here.
 REPEAT_LEAST_S = 0.15
+# Callers repeat an opening this long after the first, and then give the attempt up.
+REPEATED_AFTER_S = (0.0, 0.2, 0.6)
+ATTEMPT_S = 1.4
+# A target that is there answers an opening within a few round trips. One that was refused, was
+# lost or came too late for its caller holds no place for longer; a repeat counts again.
+OPENING_LOAD_S = 0.2
 # A flow without packets for this long runs no work that counts as load: work takes well under
 # a second and a download is acknowledged all the while.
 LOAD_IDLE_S = 2.0
@@ -26,7 +33,12 @@
 DROPPED_UNKNOWN_TOKEN = errors.Nothing(reason="dropped_unknown_token")
 DROPPED_NOT_READY = errors.Nothing(reason="dropped_not_ready")
 DROPPED_NOT_FRESH = errors.Nothing(reason="dropped_not_fresh")
-REFUSALS = (REFUSED_NO_ROUTE, REFUSED_NO_TARGET)
+DROPPED_WAITED_TOO_LONG = errors.Nothing(reason="dropped_waited_too_long")
+DROPPED_RULES_CHANGED = errors.Nothing(reason="dropped_rules_changed")
+REFUSALS = (REFUSED_NO_ROUTE, REFUSED_NO_TARGET, backlog.TOO_MANY)
+NO_PLACE = errors.Nothing(reason="no_place")
+# Not an end: the opening is sent on later.
+WAITING = errors.Nothing(reason="waiting_for_place")
 
 
 class Kind(enum.Enum):
@@ -47,12 +59,20 @@
         route: Service address and port, packed.
         kind: What it does to the flow.
         token: The routing token that it carries; 0 for none.
+        acknowledged: How far the caller has the target's bytes, as a number that only moves on.
+        has_payload: Whether it carries bytes of the caller.
+        repeat_count: Of an opening, how many the caller sent before.
+        datagram: The packet as it came.
     """
 
     flow: bytes
     route: bytes
     kind: Kind
     token: int
+    acknowledged: int = 0
+    has_payload: bool = False
+    repeat_count: int = 0
+    datagram: bytes = b""
 
 
 class Stage(enum.Enum):
@@ -72,15 +92,19 @@
         load: The target's load, raised by this flow while ``is_counted``.
         stage: How far it got.
         sent_s: When its opening was last sent.
+        since_s: When it began to count as load.
         seen_s: When its last packet came.
-        is_counted: Whether it counts as load.
+        acknowledged: How far the caller had the target's bytes by that packet.
+        is_counted: Whether it counts as load: it is being opened, or work is under way.
     """
 
     target: roster.Target
     load: choosing.Load
     stage: Stage
     sent_s: float
+    since_s: float
     seen_s: float
+    acknowledged: int = 0
     is_counted: bool = True
 
 
@@ -109,6 +133,10 @@
         self._loads: dict[int, choosing.Load] = {}
         self._by_token: dict[int, roster.Target] = {}
         self._by_service: dict[str, list[choosing.Load]] = {}
+        self._backlogs = collections.defaultdict(backlog.Backlog)
+        self._given_up: list[tuple[Packet, errors.Nothing]] = []
+        # Openings that count as load, in the order in which they were sent.
+        self._sent = collections.deque[tuple[float, Flow]]()
         self._revision = -1
         self._swept_s = 0.0
 
@@ -127,7 +155,7 @@
         load = flow.load
         return (
             f"target {flow.target.identity} at {flow.target.address[0]} for {flow.target.service}, "
-            f"{load.open_count} open, {load.failure_count} unanswered"
+            f"{load.running_count} open, {load.failure_count} unanswered"
         )
 
     def _refresh(self) -> None:
@@ -167,15 +195,23 @@
             return self._steer_opening(packet, now_s)
         flow = self._flows.get(packet.flow)
         if flow is None:
-            target = self._by_token.get(packet.token)
-            return DROPPED_UNKNOWN_TOKEN if target is None else target
+            return self._steer_unrecorded(packet)
         flow.seen_s = now_s
         if flow.stage is Stage.OPENING:
-            self._bind(flow, packet.token, now_s)
+            self._bind(flow, packet, now_s)
+        else:
+            self._follow_work(flow, packet)
         if packet.kind is not Kind.DATA:
             self._close(flow)
         return flow.target
 
+    def _steer_unrecorded(self, packet: Packet) -> roster.Target | errors.Nothing:
+        if packet.kind is not Kind.DATA:
+            for waiting in self._backlogs.values():
+                waiting.forget(packet.flow)
+        target = self._by_token.get(packet.token)
+        return DROPPED_UNKNOWN_TOKEN if target is None else target
+
     # Openings
 
     def _steer_opening(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
@@ -187,31 +223,98 @@
             return DROPPED_NOT_READY
         if not self._view.is_fresh(now_s):
             return DROPPED_NOT_FRESH
-        load = self._place(packet, now_s, avoid=None)
+        service = self._service_of(packet)
+        if isinstance(service, errors.Nothing):
+            return service
+        waiting = self._backlogs[service]
+        if packet.flow in waiting:
+            return WAITING
+        load = NO_PLACE if waiting else self._place(service, now_s, avoid=None)
+        if load is NO_PLACE:
+            return self._wait(packet, service, now_s)
         if isinstance(load, errors.Nothing):
             return load
-        load.open_count += 1
-        self._flows[packet.flow] = Flow(
-            target=load.target, load=load, stage=Stage.OPENING, sent_s=now_s, seen_s=now_s
+        return self._admit(packet, load, now_s)
+
+    def _admit(self, packet: Packet, load: choosing.Load, now_s: float) -> roster.Target:
+        load.running_count += 1
+        flow = self._flows[packet.flow] = Flow(
+            target=load.target,
+            load=load,
+            stage=Stage.OPENING,
+            sent_s=now_s,
+            since_s=now_s,
+            seen_s=now_s,
         )
+        self._sent.append((now_s, flow))
         return load.target
 
-    def _place(
-        self, packet: Packet, now_s: float, avoid: choosing.Load | None
-    ) -> choosing.Load | errors.Nothing:
+    def _service_of(self, packet: Packet) -> str | errors.Nothing:
         rule = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
         if isinstance(rule, errors.Nothing):
             return REFUSED_NO_ROUTE
-        service = rule.service_for(hashing.short_hash(packet.flow))
-        loads = self._by_service.get(service, ())
-        if avoid is not None:
-            loads = [load for load in loads if load is not avoid]
+        return rule.service_for(hashing.short_hash(packet.flow))
+
+    def _place(
+        self, service: str, now_s: float, avoid: choosing.Load | None
+    ) -> choosing.Load | errors.Nothing:
+        loads = [load for load in self._by_service.get(service, ()) if load is not avoid]
         if not loads:
             return REFUSED_NO_TARGET
-        load = self._choose(loads, now_s)
+        free = [load for load in choosing.usable(loads, now_s) if load.has_place]
+        if not free:
+            return NO_PLACE
+        load = self._choose(free, now_s)
         load.placed_s = now_s
         return load
 
+    # Openings that wait
+
+    def _wait(self, packet: Packet, service: str, now_s: float) -> errors.Nothing:
+        """Bounded wait: what a target's queue would turn away is sent on a little later."""
+        usable = choosing.usable(self._by_service[service], now_s)
+        elapsed_s = REPEATED_AFTER_S[min(packet.repeat_count, len(REPEATED_AFTER_S) - 1)]
+        waiting = backlog.Waiting(
+            flow=packet.flow,
+            opening=packet,
+            since_s=now_s,
+            until_s=now_s + ATTEMPT_S - elapsed_s,
+        )
+        place_count = sum(load.place_count for load in usable)
+        hopeless = self._backlogs[service].add(waiting, place_count)
+        self._give_up([w for w in hopeless if w is not waiting], backlog.TOO_MANY)
+        return backlog.TOO_MANY if waiting in hopeless else WAITING
+
+    def _give_up(self, waiting: list[backlog.Waiting], reason: errors.Nothing) -> None:
+        self._given_up += [(w.opening, reason) for w in waiting]
+
+    def take_given_up(self) -> list[tuple[Packet, errors.Nothing]]:
+        """Returns openings that waited in vain, with the reason; see ``steer``."""
+        given_up, self._given_up = self._given_up, []
+        return given_up
+
+    def take_released(self, now_s: float) -> list[tuple[Packet, roster.Target]]:
+        """Returns openings that waited and have a place now.
+
+        Args:
+            now_s: Current time.
+        """
+        self._forget_unanswered(now_s)
+        released = []
+        for service, waiting in self._backlogs.items():
+            while waiting:
+                load = self._place(service, now_s, avoid=None)
+                if isinstance(load, errors.Nothing):
+                    break
+                entry = waiting.pop()
+                if self._service_of(entry.opening) != service:
+                    # The caller's next copy is decided by the new rules.
+                    self._give_up([entry], DROPPED_RULES_CHANGED)
+                    continue
+                released.append((entry.opening, self._admit(entry.opening, load, now_s)))
+                self.counters.histograms["opening_wait"].note(now_s - entry.since_s)
+        return released
+
     def _steer_repeat(self, flow: Flow, packet: Packet, now_s: float) -> roster.Target:
         """A repeated opening goes on to another target only where the first did not answer."""
         flow.seen_s = now_s
@@ -222,7 +325,9 @@
         if is_mute and flow.load.note_failure(now_s):
             self.suspected.append(flow.target)
         flow.sent_s = now_s
-        other = self._place(packet, now_s, avoid=flow.load)
+        self._sent.append((now_s, flow))
+        self._count(flow)
+        other = self._place(flow.target.service, now_s, avoid=flow.load)
         if not isinstance(other, errors.Nothing):
             self._move(flow, other)
             self.counters.events["openings_moved"] += 1
@@ -230,32 +335,68 @@
 
     def _move(self, flow: Flow, load: choosing.Load) -> None:
         if flow.is_counted:
-            flow.load.open_count -= 1
-            load.open_count += 1
+            flow.load.running_count -= 1
+            load.running_count += 1
         flow.load = load
         flow.target = load.target
 
-    def _bind(self, flow: Flow, token: int, now_s: float) -> None:
+    def _bind(self, flow: Flow, packet: Packet, now_s: float) -> None:
         """The first packet after the opening names the target that answered first."""
-        answered = self._loads.get(token)
+        answered = self._loads.get(packet.token)
         if answered is None:
             return
         if answered is not flow.load:
             self._move(flow, answered)
         flow.stage = Stage.OPEN
+        self._count(flow)
+        flow.acknowledged = packet.acknowledged
         answered.note_answer(now_s)
         self.counters.histograms["handshake"].note(now_s - flow.sent_s)
         self.counters.events["flows_opened"] += 1
 
+    def _follow_work(self, flow: Flow, packet: Packet) -> None:
+        """Work is under way from the caller's bytes until it has the first of the answer.
+
+        What follows is only sent out by the target's kernel and takes none of its slots.
+        """
+        is_answered = packet.acknowledged != flow.acknowledged
+        flow.acknowledged = packet.acknowledged
+        if packet.has_payload:
+            self._count(flow)
+        elif is_answered:
+            self._finish_work(flow)
+
+    def _finish_work(self, flow: Flow) -> None:
+        if flow.is_counted:
+            held_s = flow.seen_s - flow.since_s
+            self._backlogs[flow.target.service].note_duration(held_s)
+        self._discount(flow)
+
     def _close(self, flow: Flow) -> None:
+        if flow.stage is Stage.OPEN:
+            self._finish_work(flow)
         flow.stage = Stage.CLOSED
         self._discount(flow)
 
+    @staticmethod
+    def _count(flow: Flow) -> None:
+        if not flow.is_counted and flow.stage is not Stage.CLOSED:
+            flow.is_counted = True
+            flow.since_s = flow.seen_s
+            flow.load.running_count += 1
+
     @staticmethod
     def _discount(flow: Flow) -> None:
         if flow.is_counted:
             flow.is_counted = False
-            flow.load.open_count -= 1
+            flow.load.running_count -= 1
+
+    def _forget_unanswered(self, now_s: float) -> None:
+        while self._sent and now_s - self._sent[0][0] > OPENING_LOAD_S:
+            sent_s, flow = self._sent.popleft()
+            if flow.stage is Stage.OPENING and flow.sent_s == sent_s and flow.is_counted:
+                self._backlogs[flow.target.service].note_duration(now_s - sent_s)
+                self._discount(flow)
 
     # Time
 
@@ -268,6 +409,8 @@
         if now_s - self._swept_s < SWEEP_S:
             return
         self._swept_s = now_s
+        for waiting in self._backlogs.values():
+            self._give_up(waiting.expire(now_s), DROPPED_WAITED_TOO_LONG)
         for key, flow in list(self._flows.items()):
             idle_s = now_s - flow.seen_s
             if idle_s > LOAD_IDLE_S:
