Register the ways to find a flow's target; bound the wait of openings by their rule

Cause: which way a deployment uses followed from the program that was started, and nothing refused settings that its packets cannot carry. Change: location.py registers homes and tokens with what each needs of the packets; both entry programs build their core through it by the setting flow_location, and load only that one. An opening that waits also ends with its rule's wait_s.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -143,6 +143,16 @@
     assert (packet.flow, reason) == (flow(100), steering.DROPPED_WAITED_TOO_LONG)
 
 
+def test_opening_waits_no_longer_than_its_rule_allows():
+    targets = [test_steering.target(1, slot_count=SLOT_COUNT)]
+    vm = test_steering.Vm(*targets, rules=b"10.9.0.1:443 tcp ledger wait_s=0.3 # t: t")
+    for number in range(PLACE_COUNT):
+        vm.open(flow(number))
+    assert vm.packet(flow(100)) is steering.WAITING
+    waiting = vm.core._backlogs["ledger"].pop()
+    assert waiting.until_s == pytest.approx(vm.now_s + 0.3)
+
+
 def test_opening_that_its_caller_took_back_is_not_sent_on():
     vm, running = full_vm()
     vm.packet(flow(100))
--- a/zinniaspoke/daemons/entry.py
+++ b/zinniaspoke/daemons/entry.py
@@ -12,6 +12,7 @@
     entry,
     errors,
     events,
+    location,
     membership,
     ports,
     secretfiles,
@@ -93,7 +94,13 @@
         """
         config = self.config
         self.started_s = self.now()
-        self.core = entry.Entry(config=self._core_config(), rng=self._rng, now_s=self.now())
+        self.core = location.create(
+            config.flow_location,
+            settings.CARRIAGE,
+            config=self._core_config(),
+            rng=self._rng,
+            now_s=self.now(),
+        )
         self._metrics = metrics.Metrics(counts=self.core.counts, gauges=self._gauges())
         self._packets = await udp.open_socket(config.host, config.data_port, self._on_packet)
         self.datagrams = await udp.open_socket(config.host, config.control_port, self._on_datagram)
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -12,6 +12,7 @@
     events,
     feed,
     lean_settings,
+    location,
     ports,
     roster,
     steering,
@@ -31,7 +32,13 @@
 
 
 class PacketCodec(abc.ABC):
-    """The form of packets on the platform."""
+    """The form of packets on the platform.
+
+    Attributes:
+        CARRIAGE: What it offers to find flows by.
+    """
+
+    CARRIAGE: location.Carriage
 
     @abc.abstractmethod
     def decode(self, data: bytes) -> steering.Packet | errors.Nothing:
@@ -92,6 +99,9 @@
             config: The settings.
             codec: The form of packets.
             output: Where events go.
+
+        Raises:
+            errors.SettingsError: Flows cannot be found in the way that the settings name.
         """
         self.config = config
         self._codec = codec
@@ -104,7 +114,9 @@
             rng=rng,
             now_s=lean.now_s(),
         )
-        self.steering = steering.Steering(view=self.view, rng=rng)
+        self.steering = location.create(
+            config.flow_location, codec.CARRIAGE, view=self.view, rng=rng
+        )
         self._diallers: dict[str, links.Dialler] = {}
         self._is_leaving = False
         self._is_ready = False
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -81,7 +81,9 @@
     Attributes:
         packets: Where packets arrive.
         ready: Where the fabric asks whether this VM is ready.
+        flow_location: How a flow's target is found; see ``location``.
     """
 
     packets: tuple[str, int]
     ready: tuple[str, int]
+    flow_location: str = "tokens"
--- a/zinniaspoke/settings.py
+++ b/zinniaspoke/settings.py
@@ -8,9 +8,11 @@
 import attrs
 import cattrs
 
-from zinniaspoke import burn, errors, levels, placement
+from zinniaspoke import burn, errors, levels, location, placement
 
 Checked = TypeVar("Checked")
+# Packets in Geneve pass entry VMs in both directions and are never altered.
+CARRIAGE = location.Carriage(shows_answers=True)
 
 
 @attrs.frozen(kw_only=True)
@@ -77,6 +79,7 @@
         secrets_folder: Folder with the key and token files.
         limits: Bounds of its tables.
         placement_policy: How targets are chosen.
+        flow_location: How a flow's target is found; see ``location``.
         tls: TLS towards the control replicas, or null.
         log_file: Where events go; null for standard error.
     """
@@ -94,6 +97,7 @@
     secrets_folder: str
     limits: Limits = Limits()
     placement_policy: str = placement.DEFAULT_POLICY
+    flow_location: str = "homes"
     tls: Tls | None = None
     log_file: str | None = None
 
@@ -255,6 +259,7 @@
     if found.placement_policy not in placement.names():
         known = ", ".join(placement.names())
         raise _error("$.placement_policy", f"{found.placement_policy!r} is not one of {known}")
+    location.check(found.flow_location, CARRIAGE)
     return found
 
 
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -223,15 +223,16 @@
             return DROPPED_NOT_READY
         if not self._view.is_fresh(now_s):
             return DROPPED_NOT_FRESH
-        service = self._service_of(packet)
-        if isinstance(service, errors.Nothing):
-            return service
+        rule = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
+        if isinstance(rule, errors.Nothing):
+            return REFUSED_NO_ROUTE
+        service = rule.service_for(hashing.short_hash(packet.flow))
         waiting = self._backlogs[service]
         if packet.flow in waiting:
             return WAITING
         load = NO_PLACE if waiting else self._place(service, now_s, avoid=None)
         if load is NO_PLACE:
-            return self._wait(packet, service, now_s)
+            return self._wait(packet, service, rule.wait_s, now_s)
         if isinstance(load, errors.Nothing):
             return load
         return self._admit(packet, load, now_s)
@@ -249,12 +250,6 @@
         self._sent.append((now_s, flow))
         return load.target
 
-    def _service_of(self, packet: Packet) -> str | errors.Nothing:
-        rule = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
-        if isinstance(rule, errors.Nothing):
-            return REFUSED_NO_ROUTE
-        return rule.service_for(hashing.short_hash(packet.flow))
-
     def _place(
         self, service: str, now_s: float, avoid: choosing.Load | None
     ) -> choosing.Load | errors.Nothing:
@@ -270,7 +265,7 @@
 
     # Openings that wait
 
-    def _wait(self, packet: Packet, service: str, now_s: float) -> errors.Nothing:
+    def _wait(self, packet: Packet, service: str, limit_s: float, now_s: float) -> errors.Nothing:
         """Bounded wait: what a target's queue would turn away is sent on a little later."""
         usable = choosing.usable(self._by_service[service], now_s)
         elapsed_s = REPEATED_AFTER_S[min(packet.repeat_count, len(REPEATED_AFTER_S) - 1)]
@@ -278,7 +273,7 @@
             flow=packet.flow,
             opening=packet,
             since_s=now_s,
-            until_s=now_s + ATTEMPT_S - elapsed_s,
+            until_s=now_s + min(limit_s, ATTEMPT_S - elapsed_s),
         )
         place_count = sum(load.place_count for load in usable)
         hopeless = self._backlogs[service].add(waiting, place_count)
@@ -293,6 +288,12 @@
         given_up, self._given_up = self._given_up, []
         return given_up
 
+    def _leads_to(self, packet: Packet, service: str) -> bool:
+        rule = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
+        if isinstance(rule, errors.Nothing):
+            return False
+        return rule.service_for(hashing.short_hash(packet.flow)) == service
+
     def take_released(self, now_s: float) -> list[tuple[Packet, roster.Target]]:
         """Returns openings that waited and have a place now.
 
@@ -307,7 +308,7 @@
                 if isinstance(load, errors.Nothing):
                     break
                 entry = waiting.pop()
-                if self._service_of(entry.opening) != service:
+                if not self._leads_to(entry.opening, service):
                     # The caller's next copy is decided by the new rules.
                     self._give_up([entry], DROPPED_RULES_CHANGED)
                     continue
