--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -2,7 +2,7 @@
 
 import random
 
-from zinniaspoke import consensus, control, log, storage
+from zinniaspoke import consensus, control, errors, log, storage
 
 STEP_S = 0.02
 NAMES = {1: ("a",), 3: ("a", "b", "c"), 5: ("a", "b", "c", "d", "e")}
@@ -22,6 +22,8 @@
         self.cut = set()
         self.loss = self.repeat = 0.0
         self.in_flight = []
+        # Messages kept by the connections of a VM that stands still, by its name.
+        self.standing = {}
         self.answers = {}
         self.committed = {}
         self.leaders = {}
@@ -64,11 +66,15 @@
         except storage.Crash:
             self.crash(name)
             return None
+        except errors.StorageError:
+            # The program logs it and goes on.
+            return None
 
     def step(self):
         self.now_s += STEP_S
         for name in self.names:
-            self.guarded(name, lambda core, n=name: core.tick(self.time_of(n)))
+            if name not in self.standing:
+                self.guarded(name, lambda core, n=name: core.tick(self.time_of(n)))
         self._carry()
         self._check()
 
@@ -87,15 +93,35 @@
         self.rng.shuffle(arriving)
         for message in arriving:
             name = consensus.name_of(message.recipient)
-            self.guarded(name, lambda c, m=message, n=name: c.receive(m, self.time_of(n)))
+            if name in self.standing:
+                self.standing[name].append(message)
+            else:
+                self._deliver(name, message)
         for name, core in list(self.cores.items()):
             for message in core.take_messages():
                 self._post(name, message)
             for answer in core.take_answers():
                 self.answers[name, answer.ticket] = answer.reply
 
+    def _deliver(self, name, message):
+        self.guarded(name, lambda core: core.receive(message, self.time_of(name)))
+
+    def stand_still(self, name):
+        """Freezes a VM, or holds it up in a call to a disk that answers nothing."""
+        self.standing.setdefault(name, [])
+
+    def go_on(self, name, are_links_lost=False):
+        """The VM goes on with what its connections kept, before it looks at the clock.
+
+        Its peers give the connections up when it stands still for long; then it hears nothing.
+        """
+        kept = self.standing.pop(name, ())
+        for message in () if are_links_lost else kept:
+            self._deliver(name, message)
+
     def _post(self, name, message):
-        if frozenset((name, consensus.name_of(message.recipient))) in self.cut:
+        recipient = consensus.name_of(message.recipient)
+        if frozenset((name, recipient)) in self.cut or (name, recipient) in self.cut:
             return
         copies = 0 if self.rng.random() < self.loss else 1 + (self.rng.random() < self.repeat)
         self.in_flight.extend([message] * copies)
@@ -115,6 +141,10 @@
     def isolate(self, name):
         self.cut |= {frozenset((name, other)) for other in self.names if other != name}
 
+    def deafen(self, name):
+        """Cuts a VM off one way: what it sends arrives, nothing reaches it."""
+        self.cut |= {(other, name) for other in self.names if other != name}
+
     def heal(self):
         self.cut = set()
 
