Let planned stops of a zone's entry VMs take turns

Cause: where fewer than half of a zone's entry VMs are in rotation, the fabric hands packets to all of them. Change: entry VMs tell control VMs what they are to the fabric, control VMs tell the zone's others. A stop waits until half of the zone stays in rotation, within the time that it is given.

--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -9,7 +9,7 @@
 import pytest
 from test_platform import BEAT, document, route
 
-from zinniaspoke import errors, events, lean_settings, ports
+from zinniaspoke import errors, events, lean_settings, ports, siblings
 from zinniaspoke.adapters import page
 from zinniaspoke.daemons import lean, lean_control, lean_entry
 
@@ -217,6 +217,33 @@
     asyncio.run(play())
 
 
+def test_planned_stops_in_a_zone_take_turns_and_end_in_time(site):
+    async def play():
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        entries = []
+        for host in ("127.0.0.21", "127.0.0.22", "127.0.0.23"):
+            await site.start_entry(host)
+            entries.append(site.entry)
+        await site.until(lambda: all(entry.is_ready for entry in entries))
+        await site.until(lambda: len(entries[1].view.entry_vms(lean.now_s())) == 3)
+        await asyncio.sleep(siblings.ROTATION_S)
+        first = asyncio.ensure_future(entries[0].leave())
+        await site.until(lambda: not entries[0].is_ready)
+        started_s = lean.now_s()
+        second = asyncio.ensure_future(entries[1].leave())
+        await asyncio.sleep(0.3)
+        assert entries[1].is_ready
+        await asyncio.gather(first, second)
+        assert lean.now_s() - started_s < site.entry.config.stop_limit_s
+        assert [e[1] for e in site.notes.written if e[0] is events.STOP_OUT_OF_TURN] == [
+            "127.0.0.22"
+        ]
+        await entries[2].leave()
+
+    asyncio.run(play())
+
+
 def test_handler_that_fails_is_answered_503_and_not_400():
     async def play():
         told = []
--- a/zinniaspoke/adapters/links.py
+++ b/zinniaspoke/adapters/links.py
@@ -32,6 +32,7 @@
     CALL = 5
     REPLY = 6
     UPDATE = 7
+    STATE = 8
 
 
 class Owner(abc.ABC):
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from zinniaspoke import control, errors, events, feed, roster
+from zinniaspoke import control, errors, events, feed, roster, siblings
 
 # Followers take a control VM that is silent for three of these to be lost.
 HEARTBEAT_S = 0.4
@@ -20,11 +20,17 @@
         revision: The roster's revision that it has.
         number: The rule file that it has.
         told_s: When it was last told anything.
+        name: Its name.
+        zone: Its availability zone.
+        siblings_revision: What it knows of the entry VMs there.
     """
 
     revision: int = 0
     number: int = 0
     told_s: float = -1e9
+    name: str = ""
+    zone: str = ""
+    siblings_revision: int = 0
 
 
 class Coordinator:
@@ -57,6 +63,7 @@
         self._gossiped_s = now_s
         self._gossiped_revision = 0
         self._replica_set = ""
+        self.entries = siblings.Directory()
         self.notices: list[control.Notice] = []
 
     def _note(self, event: events.Event, peer: str, detail: str) -> None:
@@ -169,6 +176,16 @@
 
     # Followers
 
+    def follower_said(self, follower: Follower, state: siblings.State, now_s: float) -> None:
+        """Notes what a follower is to the fabric, for its siblings.
+
+        Args:
+            follower: The entry VM.
+            state: Its state, or that its connection was lost.
+            now_s: Current time.
+        """
+        self.entries.note(follower.zone, follower.name, state, now_s)
+
     def controls(self) -> tuple[str, ...]:
         """Returns the names of the control VMs that are known, this one included."""
         replica = self.core.replica
@@ -182,7 +199,13 @@
             now_s: Current time.
         """
         rules = self.core.history.current
-        has_changed = follower.revision < self.targets.revision or follower.number < rules.number
+        siblings_revision = self.entries.revision(follower.zone)
+        has_new_siblings = follower.siblings_revision != siblings_revision
+        has_changed = (
+            follower.revision < self.targets.revision
+            or follower.number < rules.number
+            or has_new_siblings
+        )
         if not has_changed and now_s - follower.told_s < HEARTBEAT_S:
             return None
         entries = self.targets.changed_since(follower.revision)
@@ -190,6 +213,7 @@
         follower.revision = self.targets.revision
         follower.number = max(follower.number, rules.number)
         follower.told_s = now_s
+        follower.siblings_revision = siblings_revision
         return feed.Update(
             sightings=feed.sight_all(entries, now_s),
             controls=self.controls(),
@@ -197,6 +221,7 @@
             content=content,
             is_current=self.core.replica.is_led(now_s),
             is_complete=self.is_complete(now_s),
+            entry_vms=self.entries.of_zone(follower.zone) if has_new_siblings else None,
         )
 
     def tick(self, now_s: float) -> None:
@@ -205,6 +230,7 @@
         Args:
             now_s: Current time.
         """
+        self.entries.tick(now_s)
         for entry in self.targets.tick(now_s):
             if entry.target.state is not roster.State.ENDED:
                 silence_s = now_s - entry.heard_s
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -16,6 +16,7 @@
     log,
     ports,
     roster,
+    siblings,
     storage,
 )
 from zinniaspoke.adapters import exposition, links, page
@@ -171,8 +172,11 @@
 
     def link_closed(self, link: links.Link) -> None:
         """See ``links.Owner.link_closed``."""
-        self._followers.pop(link, None)
         self._controls_in.pop(link, None)
+        follower = self._followers.pop(link, None)
+        if follower is None or any(f.name == follower.name for f in self._followers.values()):
+            return
+        self._coordinator.follower_said(follower, siblings.State.LOST, lean.now_s())
 
     def frame_received(self, link: links.Link, kind: links.Kind, payload: bytes) -> None:
         """See ``links.Owner.frame_received``."""
@@ -194,6 +198,8 @@
         elif kind is links.Kind.REPLY:
             reply = control_pb2.CallReply.FromString(payload)
             self._resolve(self._remote.pop(reply.ticket, None), reply)
+        elif kind is links.Kind.STATE:
+            self._take_state(link, payload, now_s)
         elif kind is links.Kind.HELLO:
             self._take_hello(link, json.loads(payload))
 
@@ -201,8 +207,17 @@
         if "control" in hello:
             self._controls_in[link] = str(hello["control"])
             self._send_table(link)
-        else:
-            self._followers[link] = coordinator.Follower(number=int(hello["number"]))
+            return
+        follower = coordinator.Follower(
+            number=int(hello["number"]), name=str(hello["entry"]), zone=str(hello["zone"])
+        )
+        self._followers[link] = follower
+        self._coordinator.follower_said(follower, siblings.State(hello["state"]), lean.now_s())
+
+    def _take_state(self, link: links.Link, payload: bytes, now_s: float) -> None:
+        follower = self._followers.get(link)
+        if follower is not None:
+            self._coordinator.follower_said(follower, siblings.State(int(payload)), now_s)
 
     # Calls
 
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -15,6 +15,7 @@
     location,
     ports,
     roster,
+    siblings,
     steering,
     subscription,
 )
@@ -29,6 +30,8 @@
 # The fabric asks twice a second and takes a VM out after two misses; packets come until then.
 LEAVE_LEAST_S = 1.6
 LEAVE_QUIET_S = 0.5
+# Share of the time that a planned stop is given; the rest is for a slow processor.
+STOP_SHARE = 0.8
 
 
 class PacketCodec(abc.ABC):
@@ -118,8 +121,7 @@
             config.flow_location, codec.CARRIAGE, view=self.view, rng=rng
         )
         self._diallers: dict[str, links.Dialler] = {}
-        self._is_leaving = False
-        self._is_ready = False
+        self._state = siblings.State.STARTING
         self._packet_s = 0.0
         self._servers: list[asyncio.AbstractServer] = []
         self.task: asyncio.Task[None] | None = None
@@ -256,7 +258,12 @@
 
     def link_opened(self, link: links.Link) -> None:
         """See ``links.Owner.link_opened``."""
-        hello = {"entry": self.config.name, "number": self.view.rules.number}
+        hello = {
+            "entry": self.config.name,
+            "zone": self.config.zone,
+            "number": self.view.rules.number,
+            "state": int(self._state),
+        }
         link.send(links.Kind.HELLO, json.dumps(hello).encode())
 
     def link_closed(self, link: links.Link) -> None:
@@ -279,16 +286,27 @@
 
     # Time
 
+    @property
+    def _is_ready(self) -> bool:
+        return self._state in (siblings.State.READY, siblings.State.STOPPING)
+
     @property
     def is_ready(self) -> bool:
         """Whether the fabric may send packets here."""
-        is_ready = not self._is_leaving and (self._is_ready or self.view.is_ready(lean.now_s()))
-        if is_ready != self._is_ready:
-            self._is_ready = is_ready
-            event = events.READY if is_ready else events.NOT_READY
+        if self._state is siblings.State.STARTING and self.view.is_ready(lean.now_s()):
+            self._enter(siblings.State.READY)
+        return self._is_ready
+
+    def _enter(self, state: siblings.State) -> None:
+        """Changes what this VM is to the fabric; its siblings hear of it."""
+        was_ready = self._is_ready
+        self._state = state
+        for dialler in self._diallers.values():
+            dialler.link.send(links.Kind.STATE, str(int(state)).encode())
+        if self._is_ready != was_ready:
+            event = events.READY if self._is_ready else events.NOT_READY
             detail = f"rules {self.view.rules.number}, {len(self.view.targets)} targets"
             self._output.write(event, "answer the fabric", self.config.name, detail)
-        return is_ready
 
     async def _tick_forever(self) -> None:
         while True:
@@ -311,14 +329,27 @@
 
     async def leave(self) -> None:
         """Asks for no more packets, carries what still comes, then ends."""
-        self._is_leaving = True
-        _ = self.is_ready
         started_s = lean.now_s()
         least_s = min(LEAVE_LEAST_S, self.config.stop_limit_s / 2)
-        most_s = self.config.stop_limit_s * 0.8
-        while (spent_s := lean.now_s() - started_s) < most_s:
-            if spent_s >= least_s and lean.now_s() - self._packet_s > LEAVE_QUIET_S:
+        most_s = self.config.stop_limit_s * STOP_SHARE
+        if self._is_ready:
+            await self._wait_for_turn(started_s, started_s + most_s - least_s)
+        self._enter(siblings.State.LEFT)
+        left_s = lean.now_s()
+        while (now_s := lean.now_s()) - started_s < most_s:
+            if now_s - left_s >= least_s and now_s - self._packet_s > LEAVE_QUIET_S:
                 break
             await asyncio.sleep(TICK_S)
         self.task.cancel()
         self._output.write(events.PROCESS_STOPPED, "stop", self.config.name, "")
+
+    async def _wait_for_turn(self, started_s: float, until_s: float) -> None:
+        """Waits while too few of the zone's entry VMs would stay in rotation."""
+        self._enter(siblings.State.STOPPING)
+        while (now_s := lean.now_s()) < until_s:
+            known = self.view.entry_vms(now_s)
+            if siblings.may_leave(self.config.name, started_s, known, now_s):
+                return
+            await asyncio.sleep(TICK_S)
+        detail = ", ".join(f"{s.name} {s.state.name.lower()}" for s in known.values())
+        self._output.write(events.STOP_OUT_OF_TURN, "stop", self.config.name, detail)
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -49,6 +49,9 @@
 TABLE_COMPLETE = _define(312, "table_complete", "This process knows all targets that others know.")
 READY = _define(313, "ready", "This entry VM takes packets.")
 NOT_READY = _define(314, "not_ready", "This entry VM asks for no more packets.")
+STOP_OUT_OF_TURN = _define(
+    315, "stop_out_of_turn", "An entry VM ends though too few of its zone stay in rotation."
+)
 DATAGRAM_REFUSED = _define(401, "datagram_refused", "A control datagram was dropped.")
 FLOW_RESET = _define(402, "flow_reset", "A flow was reset at both ends; its outcome is unknown.")
 FLOW_REFUSED = _define(403, "flow_refused", "An opening was refused; nothing of it was run.")
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from zinniaspoke import errors, roster
+from zinniaspoke import errors, roster, siblings
 
 
 @attrs.frozen(kw_only=True)
@@ -34,6 +34,7 @@
         content: The rule file's bytes, where the reader is not known to hold it.
         is_current: Whether the sender hears a leader with a majority.
         is_complete: Whether the sender knows all targets that others know.
+        entry_vms: Entry VMs of the reader's zone where they changed, else None.
     """
 
     sightings: tuple[Sighting, ...] = ()
@@ -42,6 +43,7 @@
     content: bytes | None = None
     is_current: bool = False
     is_complete: bool = False
+    entry_vms: tuple[siblings.Sibling, ...] | None = None
 
 
 def sight(entry: roster.Entry, now_s: float) -> Sighting:
@@ -103,6 +105,10 @@
         "is_current": update.is_current,
         "is_complete": update.is_complete,
     }
+    if update.entry_vms is not None:
+        body["entry_vms"] = [
+            [s.name, int(s.state), round(max(0.0, now_s - s.since_s), 3)] for s in update.entry_vms
+        ]
     if update.content is not None:
         body["content"] = update.content.decode()
     return json.dumps(body, separators=(",", ":")).encode()
@@ -129,12 +135,22 @@
             content=None if content is None else content.encode(),
             is_current=bool(body["is_current"]),
             is_complete=bool(body["is_complete"]),
+            entry_vms=_unpack_siblings(body.get("entry_vms"), now_s),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         reason = f"{type(error).__name__}: {error}"
         raise errors.DatagramError(step="decode update", peer=peer, reason=reason) from error
 
 
+def _unpack_siblings(rows: list | None, now_s: float) -> tuple[siblings.Sibling, ...] | None:
+    if rows is None:
+        return None
+    return tuple(
+        siblings.Sibling(name=str(name), state=siblings.State(state), since_s=now_s - float(age_s))
+        for name, state, age_s in rows
+    )
+
+
 def sight_all(entries: Iterable[roster.Entry], now_s: float) -> tuple[Sighting, ...]:
     """Tells of several entries.
 
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from zinniaspoke import events, feed, roster, rulebook
+from zinniaspoke import events, feed, roster, rulebook, siblings
 
 # Several control VMs are followed at once, since one may be old without knowing it.
 FOLLOW_COUNT = 4
@@ -33,6 +33,7 @@
         is_complete: Whether it knows all targets.
         silent: Targets that it has not heard for a while.
         known: Targets that it told of.
+        entry_vms: Entry VMs of this VM's zone, as it sees them.
     """
 
     heard_s: float
@@ -41,6 +42,7 @@
     is_complete: bool = False
     silent: set[str] = attrs.field(factory=set)
     known: set[str] = attrs.field(factory=set)
+    entry_vms: tuple[siblings.Sibling, ...] = ()
 
 
 class Subscription:
@@ -167,6 +169,8 @@
             told.current_s = now_s
             self._is_confirmed |= self.rules.number >= update.number > 0
         told.is_complete = update.is_complete
+        if update.entry_vms is not None:
+            told.entry_vms = update.entry_vms
         if update.is_complete and not self._has_table:
             self._has_table = True
             detail = f"{len(self.targets)} targets"
@@ -210,6 +214,14 @@
         """
         return identity not in self._dead
 
+    def entry_vms(self, now_s: float) -> dict[str, siblings.Sibling]:
+        """Returns the entry VMs of this VM's zone, by name.
+
+        Args:
+            now_s: Current time.
+        """
+        return siblings.merge([told.entry_vms for told in self._live_feeds(now_s)])
+
     def is_fresh(self, now_s: float) -> bool:
         """Whether new flows may be placed: not on what was known before a suspension.
 
