Refuse openings that wait when the last target leaves; place none on old knowledge

Cause: read in the change of waiting openings: with openings waiting and no target left, the next opening raised KeyError; openings were sent on by look-up tables of before a change, and after a standstill before anything new was heard. Change: what waits for a service without targets is refused at once, tables are built anew first, and nothing is sent on before an update after a standstill. Measured: four new cases fail on the code before and pass now.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -161,6 +161,42 @@
     assert vm.core.take_released(vm.now_s) == []
 
 
+@pytest.mark.parametrize("state", [test_steering.DRAINING, test_steering.ENDED])
+def test_opening_that_waits_is_refused_at_once_when_the_last_target_leaves(state):
+    vm, running = full_vm()
+    vm.packet(flow(100))
+    leaving = test_steering.target(1, slot_count=SLOT_COUNT, state=state, sequence=9)
+    vm.take(leaving, number=1)
+    vm.finish(flow(0), running[flow(0)])
+    assert vm.core.take_released(vm.now_s) == []
+    ((packet, reason),) = vm.core.take_given_up()
+    assert (packet.flow, reason) == (flow(100), steering.REFUSED_NO_TARGET)
+    assert vm.packet(flow(101)) is steering.REFUSED_NO_TARGET
+
+
+def test_opening_is_not_sent_on_to_a_target_that_leaves_meanwhile():
+    vm, running = full_vm(2)
+    vm.packet(flow(100))
+    for key, chosen in running.items():
+        vm.finish(key, chosen)
+    leaving = test_steering.target(1, slot_count=SLOT_COUNT, state=test_steering.DRAINING)
+    vm.take(leaving, number=1)
+    assert [t.identity for _, t in vm.core.take_released(vm.now_s)] == ["i-2"]
+
+
+def test_opening_that_waited_through_a_standstill_is_not_placed_on_old_knowledge():
+    vm, running = full_vm()
+    vm.run(0.5)
+    vm.packet(flow(100))
+    for key, chosen in running.items():
+        vm.finish(key, chosen)
+    vm.now_s += 1.0
+    vm.view.note_time(vm.now_s)
+    assert vm.core.take_released(vm.now_s) == []
+    vm.take(number=1)
+    assert [p.flow for p, _ in vm.core.take_released(vm.now_s)] == [flow(100)]
+
+
 def test_opening_that_waited_is_not_placed_by_rules_of_before():
     vm, running = full_vm()
     vm.packet(flow(100))
--- a/zinniaspoke/backlog.py
+++ b/zinniaspoke/backlog.py
@@ -110,6 +110,10 @@
             self._flows.discard(flow)
             self._waiting = [waiting for waiting in self._waiting if waiting.flow != flow]
 
+    def clear(self) -> list[Waiting]:
+        """Takes all openings out."""
+        return self._cut(len(self._waiting))
+
     def expire(self, now_s: float) -> list[Waiting]:
         """Drops openings whose callers are about to give the attempt up.
 
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -10,7 +10,17 @@
 
 import attrs
 
-from zinniaspoke import backlog, choosing, counters, errors, hashing, packets, roster, subscription
+from zinniaspoke import (
+    backlog,
+    choosing,
+    counters,
+    errors,
+    hashing,
+    packets,
+    roster,
+    rules,
+    subscription,
+)
 
 # Callers repeat an opening after 0.2 s; what comes sooner was held up on the way here.
 REPEAT_LEAST_S = 0.15
@@ -223,13 +233,15 @@
             return DROPPED_NOT_READY
         if not self._view.is_fresh(now_s):
             return DROPPED_NOT_FRESH
-        rule = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
+        rule = self._rule_of(packet)
         if isinstance(rule, errors.Nothing):
-            return REFUSED_NO_ROUTE
+            return rule
         service = rule.service_for(hashing.short_hash(packet.flow))
         waiting = self._backlogs[service]
         if packet.flow in waiting:
             return WAITING
+        if service not in self._by_service:
+            return REFUSED_NO_TARGET
         load = NO_PLACE if waiting else self._place(service, now_s, avoid=None)
         if load is NO_PLACE:
             return self._wait(packet, service, rule.wait_s, now_s)
@@ -237,6 +249,10 @@
             return load
         return self._admit(packet, load, now_s)
 
+    def _rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
+        found = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
+        return REFUSED_NO_ROUTE if isinstance(found, errors.Nothing) else found
+
     def _admit(self, packet: Packet, load: choosing.Load, now_s: float) -> roster.Target:
         load.running_count += 1
         flow = self._flows[packet.flow] = Flow(
@@ -288,12 +304,6 @@
         given_up, self._given_up = self._given_up, []
         return given_up
 
-    def _leads_to(self, packet: Packet, service: str) -> bool:
-        rule = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
-        if isinstance(rule, errors.Nothing):
-            return False
-        return rule.service_for(hashing.short_hash(packet.flow)) == service
-
     def take_released(self, now_s: float) -> list[tuple[Packet, roster.Target]]:
         """Returns openings that waited and have a place now.
 
@@ -302,13 +312,21 @@
         """
         self._forget_unanswered(now_s)
         released = []
+        if not self._view.is_fresh(now_s):
+            return released
+        if self._revision != self._view.revision:
+            self._refresh()
         for service, waiting in self._backlogs.items():
+            if waiting and service not in self._by_service:
+                self._give_up(waiting.clear(), REFUSED_NO_TARGET)
             while waiting:
                 load = self._place(service, now_s, avoid=None)
                 if isinstance(load, errors.Nothing):
                     break
                 entry = waiting.pop()
-                if not self._leads_to(entry.opening, service):
+                rule = self._rule_of(entry.opening)
+                flow_hash = hashing.short_hash(entry.flow)
+                if isinstance(rule, errors.Nothing) or rule.service_for(flow_hash) != service:
                     # The caller's next copy is decided by the new rules.
                     self._give_up([entry], DROPPED_RULES_CHANGED)
                     continue
