Accept targets that start again with an earlier start time

Cause: records are ordered by start time, so a target whose clock had gone back before it started again under its name, or that took over the address of a dead target with a later start, stayed unusable until the old record was forgotten, 90 s later. A deregistration names no incarnation; one that arrives after a restart ended the new incarnation for good. Change: announcements that contradict a later record are counted. Three of them, over one interval at least, with the later incarnation silent, are accepted under a new order_ms, which other VMs follow. A target that drained and deregistered never returns. Plain renewals are no longer logged as changes.

--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -46,6 +47,22 @@
     assert vm.take_gossip(0.5).observations[0].target.state is DRAINING
 
 
+def test_renewals_are_not_logged_as_changes():
+    vm = make()
+    vm.announce(target(sequence=1), 0.0)
+    vm.announce(target(sequence=2), 1.0)
+    vm.announce(target(sequence=3), 2.0)
+    assert len(vm.notices) == 1
+
+
+def test_order_of_incarnations_is_kept_on_the_way_to_subscribers():
+    vm = make()
+    record = attrs.evolve(target(started_ms=7000), order_ms=9001)
+    vm.targets.observe(record, 0.0, 0.0)
+    received = round_trip(vm.full_update(0.0)).observations[0].target
+    assert (received.started_ms, received.order_ms) == (7000, 9001)
+
+
 def test_deregistration_at_one_control_vm_reaches_the_subscribers_of_another():
     first, second, subscriber = make("a:1"), make("b:1"), coordinator.Subscriber()
     for vm in (first, second):
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -91,6 +91,99 @@
     assert table.changed_since(before) == []
 
 
+INTERVAL_S = 1.0
+
+
+def announce_for(table, seconds, start_s, first_sequence=1, **values):
+    """Announces a target once per interval; returns when it was accepted, or None."""
+    for step in range(int(seconds / INTERVAL_S) + 1):
+        now_s = start_s + step * INTERVAL_S
+        table.tick(now_s)
+        if table.announce(target(sequence=first_sequence + step, **values), now_s):
+            return now_s
+    return None
+
+
+def test_restart_with_an_earlier_start_time_is_accepted_once_the_old_incarnation_is_silent():
+    """The host's clock went back before the target started again under its name."""
+    table = make_roster(target(started_ms=9000, sequence=40))
+    old_token = table.find("i-1").target.token
+    assert announce_for(table, 10, 1.0, started_ms=7000) == pytest.approx(4.0, abs=INTERVAL_S)
+    entry = table.find("i-1")
+    assert (entry.target.started_ms, entry.target.state, entry.is_silent) == (7000, READY, False)
+    assert entry.target.token != old_token
+
+
+def test_restart_with_an_earlier_start_time_after_a_deregistration_is_accepted():
+    table = make_roster(target(started_ms=9000, sequence=40, state=DRAINING))
+    table.deregister("i-1", 1.0)
+    assert announce_for(table, 10, 1.5, started_ms=7000) is not None
+    assert state_of(table) is READY
+
+
+def test_replaced_incarnation_does_not_return_with_its_later_start_time():
+    table = make_roster(target(started_ms=9000, sequence=40))
+    announce_for(table, 10, 1.0, started_ms=7000)
+    assert table.announce(target(started_ms=9000, sequence=41), 6.0) is roster.STALE
+    assert table.find("i-1").target.started_ms == 7000
+    assert table.announce(target(started_ms=7000, sequence=50, state=DRAINING), 6.1)
+    assert state_of(table) is DRAINING
+    assert table.announce(target(started_ms=9500, sequence=1), 7.0)
+    assert table.find("i-1").target.started_ms == 9500
+
+
+def test_order_of_a_restart_with_an_earlier_start_time_reaches_other_control_vms():
+    old = target(started_ms=9000, sequence=40)
+    first, second = make_roster(old), make_roster(old)
+    announce_for(first, 10, 1.0, started_ms=7000)
+    second.observe(first.find("i-1").target, 6.0, 6.0)
+    assert second.find("i-1").target.started_ms == 7000
+    assert first.observe(old, 6.0, 6.0) is roster.STALE
+
+
+def test_delayed_announcements_of_an_earlier_incarnation_are_not_accepted():
+    """A healed partition lets several through at once, while the target runs or has just ended."""
+    table = make_roster(target(started_ms=9000, sequence=1))
+    for sequence in range(5, 15):
+        assert table.announce(target(started_ms=7000, sequence=sequence), 8.0) is roster.STALE
+    for step in range(10):
+        table.announce(target(started_ms=9000, sequence=2 + step), 8.0 + step)
+        found = table.announce(target(started_ms=7000, sequence=20 + step), 8.5 + step)
+        assert found is roster.STALE
+
+
+def test_draining_target_that_deregistered_never_returns():
+    table = make_roster(target(sequence=5), target(sequence=6, state=DRAINING))
+    table.deregister("i-1", 1.0)
+    assert announce_for(table, 20, 1.0, first_sequence=7) is None
+    assert state_of(table) is ENDED
+
+
+def test_target_ended_by_a_late_deregistration_of_an_earlier_incarnation_returns():
+    """The call names no incarnation, and a partition may hold it up until after a restart."""
+    table = make_roster(target(started_ms=2000, sequence=3))
+    table.deregister("i-1", 1.0)
+    assert announce_for(table, 10, 1.5, 4, started_ms=2000) is not None
+    assert state_of(table) is READY
+    table.announce(target(started_ms=2000, sequence=60, state=DRAINING), 8.0)
+    table.deregister("i-1", 9.0)
+    assert announce_for(table, 20, 9.5, 61, started_ms=2000) is None
+
+
+def test_new_target_with_an_earlier_start_time_takes_over_the_address_of_a_dead_one():
+    dead = target("i-1", 9000, 40)
+    table = make_roster(dead)
+    values = {"identity": "i-2", "started_ms": 7000, "service": "archive"}
+    table.announce(target(sequence=1, **values), 0.5)
+    assert state_of(table, "i-2") is ENDED
+    assert announce_for(table, 12, 1.5, 2, **values) is not None
+    assert (state_of(table, "i-1"), state_of(table, "i-2")) == (ENDED, READY)
+    other = make_roster(dead)
+    for entry in table.entries():
+        other.observe(entry.target, 12.0, 12.0)
+    assert (state_of(other, "i-1"), state_of(other, "i-2")) == (ENDED, READY)
+
+
 records = st.builds(
     target,
     identity=st.sampled_from(["i-1", "i-2"]),
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -82,14 +82,15 @@
             target: The target.
             now_s: Current time.
         """
-        entry = self.targets.observe(target, now_s, now_s)
+        before = self.targets.revision
+        entry = self.targets.announce(target, now_s)
         if entry is not roster.STALE:
             self._pending_gossip.add(target.identity)
-            self._log_change(entry, "announced to this VM")
+            self._log_change(entry, before, "announced to this VM")
 
-    def _log_change(self, entry: roster.Entry, source: str) -> None:
-        """Logs the latest change of the roster if it is a change of this entry."""
-        if entry.revision != self.targets.revision:
+    def _log_change(self, entry: roster.Entry, before: int, source: str) -> None:
+        """Logs an entry that has changed since a revision of the roster."""
+        if entry.revision <= before:
             return
         target = entry.target
         event = events.TARGET_CHANGED if target.state else events.TARGET_ANNOUNCED
@@ -161,9 +162,10 @@
             now_s: Current time.
         """
         for observation in update.observations:
+            before = self.targets.revision
             entry = self.targets.observe(observation.target, now_s - observation.age_s, now_s)
             if entry is not roster.STALE:
-                self._log_change(entry, "announced to another control VM")
+                self._log_change(entry, before, "announced to another control VM")
         if update.is_complete:
             self._mark_complete("another control VM has a complete roster")
 
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -66,6 +66,8 @@
 
 def _encode_observation(observation: Observation, now_s: float) -> list[object]:
     target = observation.target
+    # Left out where it is the start, so that VMs without this field read almost all rows.
+    order = [target.order_ms] if target.order_ms != target.started_ms else []
     return [
         target.identity,
         target.started_ms,
@@ -78,6 +80,7 @@
         round(max(0.0, target.warm_at_s - now_s), 2),
         round(observation.age_s, 2),
         observation.is_silent,
+        *order,
     ]
 
 
@@ -95,6 +98,7 @@
         warm_up_left_s,
         age_s,
         is_silent,
+        *order,
     ) = row
     target = roster.Target(
         identity=str(identity),
@@ -106,6 +110,7 @@
         slot_count=int(slot_count),
         state=roster.State(state),
         warm_at_s=now_s + float(warm_up_left_s),
+        order_ms=int(order[0] if order else started_ms),
     )
     return Observation(target=target, age_s=float(age_s), is_silent=bool(is_silent))
 
--- a/zinniaspoke/roster.py
+++ b/zinniaspoke/roster.py
@@ -38,6 +38,7 @@
         slot_count: Number of requests that it serves concurrently.
         state: The state that it last announced.
         warm_at_s: End of its warm-up, in which it is slower than usual, on this process's clock.
+        order_ms: Orders the incarnations; ``started_ms``, or more if its clock had gone back.
         token: The routing token of the incarnation, never 0.
     """
 
@@ -50,8 +51,13 @@
     slot_count: int
     state: State = State.READY
     warm_at_s: float = 0.0
+    order_ms: int = attrs.field()
     token: int = attrs.field(init=False)
 
+    @order_ms.default
+    def _start_order(self) -> int:
+        return self.started_ms
+
     def __attrs_post_init__(self) -> None:
         """Derives the token from identity and start alone, so that all VMs compute the same one."""
         token = hashing.short_hash(f"{self.identity}/{self.started_ms}".encode())
@@ -60,7 +66,26 @@
     @property
     def order(self) -> tuple[int, int, int]:
         """Sort key of records of one identity: a newer record has a greater key."""
-        return self.started_ms, self.state, self.sequence
+        return self.order_ms, self.state, self.sequence
+
+
+@attrs.define(kw_only=True, slots=True)
+class Dispute:
+    """Announcements that contradict the known record of their target.
+
+    Attributes:
+        started_ms: Start of the incarnation that announces itself.
+        sequence: Sequence of its newest announcement.
+        since_s: When the first of them arrived.
+        last_s: When the newest of them arrived.
+        count: How many arrived.
+    """
+
+    started_ms: int
+    sequence: int
+    since_s: float
+    last_s: float
+    count: int = 1
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -72,12 +97,16 @@
         heard_s: When it last announced itself, here or to another control VM.
         is_silent: Whether its announcements have stopped.
         revision: The roster's revision at the last change that subscribers have to be sent.
+        is_end_inferred: Whether it counts as ended though it last announced itself as ready.
+        dispute: Announcements that contradict this record, or None.
     """
 
     target: Target
     heard_s: float
     is_silent: bool = False
     revision: int = 0
+    is_end_inferred: bool = False
+    dispute: Dispute | None = None
 
 
 class Roster:
@@ -119,8 +148,81 @@
         self.revision += 1
         entry.revision = self.revision
 
+    def announce(self, target: Target, now_s: float) -> Entry | errors.Nothing:
+        """Registers or renews a target from an announcement that it sent to this VM.
+
+        A record that contradicts a later one is usually a delayed announcement of an incarnation
+        that has ended. It is accepted once the target goes on announcing itself while the later
+        record's incarnation, or the later owner of the address, is silent: then the clock from
+        which ``started_ms`` was read had gone back, or a deregistration of an earlier incarnation
+        arrived late.
+
+        Args:
+            target: The announced record.
+            now_s: Current time.
+
+        Returns:
+            The entry, or ``STALE`` if the record is not accepted.
+        """
+        known = self._entries.get(target.identity)
+        if known is not None:
+            if target.started_ms == known.target.started_ms < known.target.order_ms:
+                target = attrs.evolve(target, order_ms=known.target.order_ms)
+            if self._contradicts(target, known):
+                if not self._wins_dispute(target, known, now_s):
+                    return STALE
+                order_ms = max(known.target.order_ms, self._rival(target, known).target.order_ms)
+                target = attrs.evolve(target, order_ms=order_ms + 1)
+        return self.observe(target, now_s, now_s)
+
+    @staticmethod
+    def _contradicts(target: Target, known: Entry) -> bool:
+        """Whether the record says that its target runs and the known record that it has ended."""
+        if target.started_ms != known.target.started_ms:
+            return target.order_ms <= known.target.order_ms
+        return (
+            known.is_end_inferred
+            and target.state is State.READY
+            and target.sequence > known.target.sequence
+        )
+
+    def _rival(self, target: Target, known: Entry) -> Entry:
+        """Returns the entry that the announcing incarnation contradicts."""
+        owner = self._entries.get(self._address_owners.get(target.address, ""), known)
+        return known if owner.target.address != target.address else owner
+
+    def _wins_dispute(self, target: Target, known: Entry, now_s: float) -> bool:
+        """Counts an announcement that contradicts a later record; whether it is to be accepted.
+
+        The announcements that a healed partition lets through arrive together, and a live target
+        has announced itself again by then.
+        """
+        dispute = known.dispute
+        if (
+            dispute is None
+            or dispute.started_ms != target.started_ms
+            or now_s - dispute.last_s > self._silent_after_s
+        ):
+            known.dispute = Dispute(
+                started_ms=target.started_ms,
+                sequence=target.sequence,
+                since_s=now_s,
+                last_s=now_s,
+            )
+            return False
+        if target.sequence <= dispute.sequence:
+            return False
+        dispute.sequence, dispute.last_s = target.sequence, now_s
+        dispute.count += 1
+        interval_s = self._silent_after_s / MISSED_ANNOUNCEMENTS
+        is_repeated = (
+            dispute.count >= MISSED_ANNOUNCEMENTS and now_s - dispute.since_s >= interval_s
+        )
+        rivals = (known, self._rival(target, known))
+        return is_repeated and all(now_s - e.heard_s > self._silent_after_s for e in rivals)
+
     def observe(self, target: Target, heard_s: float, now_s: float) -> Entry | errors.Nothing:
-        """Registers or renews a target from an announcement, received directly or by gossip.
+        """Registers or renews a target from a record, received directly or by gossip.
 
         Args:
             target: The announced record.
@@ -142,12 +244,10 @@
             if target.order == known.target.order:
                 self._renew(known, heard_s, now_s)
             return STALE
-        is_change = (target.started_ms, target.state) != (
-            known.target.started_ms,
-            known.target.state,
-        )
+        is_change = (target.order_ms, target.state) != (known.target.order_ms, known.target.state)
         is_moved = target.address != known.target.address or target.service != known.target.service
         known.target = target
+        known.dispute, known.is_end_inferred = None, False
         self._renew(known, heard_s, now_s)
         if is_change or is_moved:
             self._mark_changed(known)
@@ -157,8 +257,8 @@
     @staticmethod
     def _is_newer(target: Target, known: Target) -> bool:
         """Compares two records; the state never decreases within an incarnation."""
-        if target.started_ms != known.started_ms:
-            return target.started_ms > known.started_ms
+        if target.order_ms != known.order_ms:
+            return target.order_ms > known.order_ms
         if target.state < known.state:
             return False
         return target.state > known.state or target.sequence > known.sequence
@@ -176,14 +276,15 @@
         if owner is None or owner is entry or owner.target.address != address:
             self._address_owners[address] = entry.target.identity
             return
-        older, newer = sorted((owner, entry), key=lambda e: e.target.started_ms)
-        if older.target.started_ms == newer.target.started_ms:
+        older, newer = sorted((owner, entry), key=lambda e: e.target.order_ms)
+        if older.target.order_ms == newer.target.order_ms:
             older, newer = owner, entry
         self._address_owners[address] = newer.target.identity
         self._mark_ended(older)
 
     def _mark_ended(self, entry: Entry) -> None:
         if entry.target.state is not State.ENDED:
+            entry.is_end_inferred = entry.target.state is State.READY
             entry.target = attrs.evolve(entry.target, state=State.ENDED)
             self._mark_changed(entry)
 
