Pace packets to the entry VM's link with fair queueing by flow

Cause: an entry VM sent packets as they came. On a link of 2 Mbit/s a window of 16 packets exceeds the link's short queue, and each loss costs its sender 0.2 s and more. A retransmission takes the place of its waiting copy; what its sender gave up is dropped, and so is what waits of a flow that its caller reset. A planned stop waits for the queue.

--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -71,10 +71,12 @@
         await program.start(control_program.Calls(program=program, output=self.notes).answer)
         self.controls[host] = program
 
-    async def start_entry(self, host="127.0.0.21"):
+    async def start_entry(self, host="127.0.0.21", **settings):
         self.entry = lean_entry.LeanEntry(
             config=lean_settings.Entry(
-                **self.common(host), packets=(host, self.call_port), ready=(host, self.call_port)
+                **{**self.common(host), **settings},
+                packets=(host, self.call_port),
+                ready=(host, self.call_port),
             ),
             codec=packet.Codec(),
             output=self.notes,
@@ -217,6 +219,45 @@
     asyncio.run(play())
 
 
+def test_planned_stop_sends_what_waits_for_the_link_first(site):
+    """The link needs 1.4 s for what has arrived; a stop without packets would end after 1 s."""
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        await site.start_entry(link_bytes_per_s=40_000.0, stop_limit_s=2.0)
+        target = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        target.bind(("127.0.0.31", 0))
+        target.setblocking(False)
+        address = f"127.0.0.31:{target.getsockname()[1]}"
+        beat = json.dumps({**BEAT, "address": address}).encode()
+        assert (await site.call(HOSTS[1], "PUT", "/api/instances/i-7f3a91c2", beat))[0] == 200
+        await site.until(lambda: site.entry.is_ready and len(site.entry.view.targets))
+        token = site.entry.view.targets.find("i-7f3a91c2").target.token
+        size = 1200
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
+            for number in range(40):
+                head = bytearray(34)
+                head[0:4] = (number * size).to_bytes(4, "big")
+                head[8:12] = token.to_bytes(4, "big")
+                head[16:18] = size.to_bytes(2, "big")
+                head[22:26], head[26:30] = socket.inet_aton("127.0.0.41"), bytes((198, 18, 0, 1))
+                head[30:34] = (443).to_bytes(2, "big") + (4001).to_bytes(2, "big")
+                caller.sendto(bytes(head) + bytes(size), ("127.0.0.21", site.call_port))
+        await site.until(lambda: b"link_queued_bytes 0" not in site.entry.metrics())
+        await site.entry.leave()
+        assert b"link_queued_bytes 0" in site.entry.metrics()
+        arrived = [await loop.sock_recv(target, 2048) for _ in range(40)]
+        numbers = [int.from_bytes(data[8:12], "big") // size for data in arrived]
+        assert numbers == list(range(40))
+        assert site.entry.counters.histograms["link_wait"].count > 30
+        target.close()
+        await site.stop()
+
+    asyncio.run(play())
+
+
 def test_planned_stops_in_a_zone_take_turns_and_end_in_time(site):
     async def play():
         await founded(site)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -218,6 +218,7 @@
     "fault_tolerance": {"machines": 2},
     "bounds": {"flow_lifetime_s": 60, "contact_window_ms": 4000, "grace_period_s": 6},
     "config_mode": "highest",
+    "limits": {"link_bandwidth_mbps": 2.0, "memory_mb": 120},
     "something_new": 5,
 }  # fmt: skip
 
@@ -231,6 +232,7 @@
     assert control.seeds == ("10.1.0.12:7720", "10.2.0.42:7720")
     assert (control.voter_count, control.may_bootstrap) == (5, True)
     assert (entry.packets, entry.ready) == (("10.1.0.12", 1), ("10.1.0.12", 2))
+    assert entry.link_bytes_per_s == 250_000
 
 
 @pytest.mark.parametrize("missing", ["ip", "bounds", "seed_nodes", "internal_port_range"])
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -13,6 +13,7 @@
     feed,
     lean_settings,
     location,
+    pacing,
     ports,
     roster,
     siblings,
@@ -120,6 +121,12 @@
         self.steering = location.create(
             config.flow_location, codec.PACKET_FEATURES, view=self.view, rng=rng
         )
+        self._pacer = (
+            pacing.Pacer(bytes_per_s=config.link_bytes_per_s, counts=self.steering.counters)
+            if config.link_bytes_per_s
+            else None
+        )
+        self._pacer_timer: asyncio.TimerHandle | None = None
         self._diallers: dict[str, links.Dialler] = {}
         self._state = siblings.State.STARTING
         self._packet_s = 0.0
@@ -181,6 +188,7 @@
                 break
             self._handle(data, now_s)
         self._release(now_s)
+        self._schedule_pacer(now_s)
 
     def _handle(self, data: bytes, now_s: float) -> None:
         packet = self._codec.decode(data)
@@ -189,9 +197,9 @@
             return
         found = self.steering.steer(packet, now_s)
         if isinstance(found, errors.Nothing):
-            self._turn_away(data, found)
+            self._turn_away(packet, found, now_s)
             return
-        self._send(self._codec.to_target(data, found, packet.kind), found.address)
+        self._send_packet(packet, found, now_s)
         if packet.kind is steering.Kind.OPENING:
             self._tell_opened(packet, "steer")
 
@@ -203,13 +211,13 @@
     def _release(self, now_s: float) -> None:
         """Sends on openings that waited for a place, and gives up those that wait in vain."""
         for packet, target in self.steering.take_released(now_s):
-            data = self._codec.to_target(packet.datagram, target, packet.kind)
-            self._send(data, target.address)
+            self._send_packet(packet, target, now_s)
             self._tell_opened(packet, "release")
         for packet, reason in self.steering.take_rejected():
-            self._turn_away(packet.datagram, reason)
+            self._turn_away(packet, reason, now_s)
 
-    def _turn_away(self, data: bytes, reason: errors.Nothing) -> None:
+    def _turn_away(self, packet: steering.Packet, reason: errors.Nothing, now_s: float) -> None:
+        data = packet.datagram
         detail = (
             f"{reason.reason}, rules {self.view.rules.number}, {len(self.view.targets)} targets"
         )
@@ -220,7 +228,11 @@
         self._drop(reason.reason)
         if reason in steering.REFUSALS:
             host, answer = self._codec.refusal(data)
-            self._send(answer, (host, self.config.packets[1]))
+            endpoint = (host, self.config.packets[1])
+            self._submit(
+                pacing.Datagram(data=answer, endpoint=endpoint, flow=packet.flow, is_opening=True),
+                now_s,
+            )
             self._output.write(events.FLOW_REFUSED, "steer", self._codec.describe(data), detail)
         else:
             self._output.write(events.FLOW_DROPPED, "steer", self._codec.describe(data), detail)
@@ -228,12 +240,44 @@
     def _drop(self, reason: str) -> None:
         self.counters.drops[reason] += 1
 
-    def _send(self, data: bytes, endpoint: tuple[str, int]) -> None:
+    # Sending at the link's pace
+
+    def _send_packet(self, packet: steering.Packet, target: roster.Target, now_s: float) -> None:
+        if packet.kind is steering.Kind.RESET and self._pacer is not None:
+            self._pacer.cancel(packet.flow)
+        self._submit(
+            pacing.Datagram(
+                data=self._codec.to_target(packet.datagram, target, packet.kind),
+                endpoint=target.address,
+                flow=packet.flow,
+                sequence=packet.sequence if packet.has_payload else None,
+                is_opening=packet.kind is steering.Kind.OPENING,
+            ),
+            now_s,
+        )
+
+    def _submit(self, datagram: pacing.Datagram, now_s: float) -> None:
+        if self._pacer is None or self._pacer.submit(datagram, now_s):
+            self._send(datagram)
+
+    def _send(self, datagram: pacing.Datagram) -> None:
         try:
-            self._socket.sendto(data, endpoint)
+            self._socket.sendto(datagram.data, datagram.endpoint)
         except OSError as error:
             self._drop(f"send_{error.errno}")
 
+    def _schedule_pacer(self, now_s: float) -> None:
+        if self._pacer and self._pacer_timer is None:
+            delay_s = max(0.0, self._pacer.next_send_s - now_s)
+            self._pacer_timer = asyncio.get_running_loop().call_later(delay_s, self._send_due)
+
+    def _send_due(self) -> None:
+        self._pacer_timer = None
+        now_s = lean.now_s()
+        for datagram in self._pacer.take_due(now_s):
+            self._send(datagram)
+        self._schedule_pacer(now_s)
+
     def metrics(self) -> bytes:
         """Returns what this process counted, as text."""
         gauges = {
@@ -242,6 +286,8 @@
             "flow_records": len(self.steering),
             "is_ready": float(self._is_ready),
         }
+        if self._pacer is not None:
+            gauges["link_queued_bytes"] = self._pacer.queued_bytes
         return exposition.render(self.counters, gauges)
 
     # Control VMs
@@ -315,6 +361,7 @@
             self.view.tick(now_s)
             self.steering.tick(now_s)
             self._release(now_s)
+            self._schedule_pacer(now_s)
             self._follow()
             self._tell()
 
@@ -337,7 +384,8 @@
         self._enter(siblings.State.LEFT)
         left_s = lean.now_s()
         while (now_s := lean.now_s()) - started_s < most_s:
-            if now_s - left_s >= least_s and now_s - self._packet_s > LEAVE_QUIET_S:
+            is_quiet = now_s - self._packet_s > LEAVE_QUIET_S and not self._pacer
+            if now_s - left_s >= least_s and is_quiet:
                 break
             await asyncio.sleep(TICK_S)
         self.task.cancel()
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -82,8 +82,16 @@
         packets: Where packets arrive.
         ready: Where the fabric asks whether this VM is ready.
         flow_location: How a flow's target is found; see ``location``.
+        link_bytes_per_s: Bandwidth of its link; 0 where packets are sent as they come.
     """
 
     packets: tuple[str, int]
     ready: tuple[str, int]
     flow_location: str = "tokens"
+    link_bytes_per_s: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        """Checks what no later step would notice."""
+        super().__attrs_post_init__()
+        if not self.link_bytes_per_s >= 0:
+            raise self._error("link_bytes_per_s", "below 0")
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -72,6 +72,7 @@
         route: Service address and port, packed.
         kind: Effect on the flow.
         token: The routing token that it carries; 0 for none.
+        sequence: Position of its payload in the caller's bytes.
         acknowledged: How far the caller has received the target's bytes; it only advances.
         has_payload: Whether it carries bytes of the caller.
         retransmit_count: For an opening, how many copies the caller sent before this one.
@@ -82,6 +83,7 @@
     route: bytes
     kind: Kind
     token: int
+    sequence: int = 0
     acknowledged: int = 0
     has_payload: bool = False
     retransmit_count: int = 0
