Reset flows whose target has become unreachable

Change: a flow whose request was retransmitted after 0.2 s and 0.6 s, with no sign of life from its target through this VM since, is reset; one retransmission is enough for a target under suspicion. Only flows of rules whose requests callers may repeat (rule option idempotent=yes), never while packets wait for this VM's own link, never for copies that arrive together after a suspension.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -58,7 +58,19 @@
 
 
 def test_refusal_is_the_platforms_reset():
-    assert packet.Codec().refusal(SYN) == ("100.64.0.7", RESET)
+    codec = packet.Codec()
+    assert codec.reset(codec.decode(SYN)) == ("100.64.0.7", RESET)
+    repeated = SYN[:4] + (2).to_bytes(4, "big") + SYN[8:]
+    assert codec.reset(codec.decode(repeated)) == ("100.64.0.7", RESET)
+
+
+def test_reset_of_an_open_flow_stands_at_what_its_caller_has_acknowledged():
+    codec = packet.Codec()
+    data = bytearray(SYN)
+    data[18], data[4:8] = packet.ACK, (0xFFFF1234).to_bytes(4, "big")
+    caller, reset = codec.reset(codec.decode(bytes(data)))
+    assert caller == "100.64.0.7"
+    assert reset == (0xFFFF1234).to_bytes(4, "big") + RESET[4:]
 
 
 @pytest.mark.parametrize(
@@ -161,6 +173,16 @@
     assert manifest.services_of(file) == {"ledger", "archive"}
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_idempotent"),
+    [("safe", True), ("download", True), ("unsafe", False), ("upload", False), (..., False)],
+)
+def test_what_callers_may_repeat_follows_from_the_kind_of_a_route(kind, is_idempotent):
+    file = manifest.compile_rules(document(route(route_type=kind)))
+    (rule,) = rules.parse(file.number, file.content).rules.values()
+    assert rule.idempotent is is_idempotent
+
+
 NO_WEIGHT = [{"service": "ledger", "weight": 0}]
 INVALID = {
     "cut short": document(route())[:-9],
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -314,6 +314,126 @@
     assert vm.core.newly_suspected == []
 
 
+IDEMPOTENT_RULES = RULES.replace(b"tcp ledger", b"tcp ledger idempotent=yes")
+RETRANSMIT_TIMES_S = (0.2, 0.6, 1.4)
+
+
+def request(vm, key, chosen, sequence=1, acknowledged=1):
+    """Sends a request of one packet."""
+    return vm.packet(
+        key,
+        steering.Kind.DATA,
+        chosen.token,
+        sequence=sequence,
+        acknowledged=acknowledged,
+        has_payload=True,
+    )
+
+
+def retransmit(vm, key, chosen, times_s=RETRANSMIT_TIMES_S, **values):
+    """Sends a request and its retransmissions; returns when the flow was reset, or None."""
+    start_s = vm.now_s
+    request(vm, key, chosen, **values)
+    for time_s in times_s:
+        vm.now_s = start_s + time_s
+        if request(vm, key, chosen, **values) is steering.RESET_UNRESPONSIVE:
+            return time_s
+    return None
+
+
+def test_flow_to_a_target_that_fell_silent_is_reset_so_that_its_caller_reconnects():
+    """Long flows whose target loses power: callers would wait until their time budget ends."""
+    vm = Vm(target(1), target(2), rules=IDEMPOTENT_RULES)
+    chosen = vm.open(flow(1))
+    vm.now_s += 3.0
+    assert retransmit(vm, flow(1), chosen) == 0.6
+    assert [t.identity for t in vm.core.newly_suspected] == [chosen.identity]
+    assert vm.packet(flow(2)).identity != chosen.identity
+
+
+def test_flow_without_a_record_is_reset_as_well():
+    """The flow was opened through another entry VM."""
+    vm = Vm(target(1), target(2), rules=IDEMPOTENT_RULES)
+    assert retransmit(vm, flow(1), vm.view.targets.find("i-1").target) == 0.6
+
+
+@pytest.mark.parametrize("evidence", ["opening", "announcements"])
+def test_one_retransmission_is_enough_for_a_suspected_target(evidence):
+    vm = Vm(target(1), target(2), rules=IDEMPOTENT_RULES)
+    chosen = vm.open(flow(1))
+    if evidence == "opening":
+        vm.now_s += 5.0
+        number = 2
+        while vm.packet(flow(number)).identity != chosen.identity:
+            number += 1
+        vm.now_s += 0.2
+        vm.packet(flow(number))
+    else:
+        vm.apply_update(target(1), target(2), silent=(chosen.identity,), number=1)
+        vm.run(0.3)
+        vm.now_s += steering.choosing.ANSWER_VALIDITY_S
+    assert retransmit(vm, flow(1), chosen) == 0.2
+
+
+def test_flow_that_must_not_be_repeated_is_never_reset():
+    vm = Vm(target(1), target(2))
+    chosen = vm.open(flow(1))
+    assert retransmit(vm, flow(1), chosen) is None
+
+
+def test_flow_is_kept_while_its_target_answers_others():
+    """Only this flow's packets are lost, or its request is slow."""
+    vm = Vm(target(1), rules=IDEMPOTENT_RULES)
+    chosen = vm.open(flow(1))
+    other = vm.open(flow(2))
+    start_s = vm.now_s
+    request(vm, flow(1), chosen)
+    request(vm, flow(2), other)
+    vm.now_s += 0.1
+    vm.finish(flow(2), other)
+    vm.packet(flow(2), steering.Kind.DATA, other.token, acknowledged=50)
+    for time_s in RETRANSMIT_TIMES_S:
+        vm.now_s = start_s + time_s
+        assert request(vm, flow(1), chosen) is chosen
+
+
+def test_flow_is_kept_while_its_response_arrives():
+    vm = Vm(target(1), rules=IDEMPOTENT_RULES)
+    chosen = vm.open(flow(1))
+    request(vm, flow(1), chosen)
+    for step in range(1, 10):
+        vm.now_s += 0.3
+        assert request(vm, flow(1), chosen, acknowledged=1 + step) is chosen
+
+
+def test_copies_that_arrive_together_after_a_suspension_reset_nothing():
+    vm = Vm(target(1), rules=IDEMPOTENT_RULES)
+    chosen = vm.open(flow(1))
+    request(vm, flow(1), chosen)
+    vm.now_s += 4.0
+    for _ in range(5):
+        assert request(vm, flow(1), chosen) is chosen
+
+
+def test_silence_proves_nothing_while_packets_wait_for_the_link():
+    vm = Vm(target(1), rules=IDEMPOTENT_RULES)
+    chosen = vm.open(flow(1))
+    start_s = vm.now_s
+    request(vm, flow(1), chosen)
+    for time_s in RETRANSMIT_TIMES_S:
+        vm.core.record_link_busy(vm.now_s)
+        vm.now_s = start_s + time_s
+        assert request(vm, flow(1), chosen) is chosen
+
+
+def test_reset_is_repeated_if_the_caller_missed_it():
+    vm = Vm(target(1), rules=IDEMPOTENT_RULES)
+    chosen = vm.open(flow(1))
+    assert retransmit(vm, flow(1), chosen, (0.2, 0.6)) == 0.6
+    vm.now_s += 0.8
+    assert request(vm, flow(1), chosen) is steering.RESET_UNRESPONSIVE
+
+
 events = st.tuples(
     st.sampled_from(["syn", "data", "fin", "rst", "drain"]), st.integers(0, 4), st.integers(0, 5)
 )
--- a/zinniaspoke/choosing.py
+++ b/zinniaspoke/choosing.py
@@ -38,6 +38,7 @@
         suspected_until_s: Until then it gets no new flows while other targets are eligible.
         is_silent: Whether its announcements have stopped.
         answered_s: When it last answered an opening.
+        heard_s: When a caller last acknowledged bytes from it.
     """
 
     target: roster.Target
@@ -47,6 +48,7 @@
     suspected_until_s: float = -1e9
     is_silent: bool = False
     answered_s: float = -1e9
+    heard_s: float = -1e9
 
     @property
     def in_flight_limit(self) -> int:
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -74,11 +74,11 @@
         """
 
     @abc.abstractmethod
-    def refusal(self, data: bytes) -> tuple[str, bytes]:
-        """Builds the answer to an opening that nobody can take.
+    def reset(self, packet: steering.Packet) -> tuple[str, bytes]:
+        """Builds the answer that refuses an opening or ends an open flow.
 
         Args:
-            data: The datagram from the fabric.
+            packet: The caller's packet.
 
         Returns:
             The caller's IP number and the datagram.
@@ -226,14 +226,18 @@
             self._output.write(events.FLOW_WAITS, "steer", self._codec.describe(data), detail)
             return
         self._drop(reason.reason)
-        if reason in steering.REFUSALS:
-            host, answer = self._codec.refusal(data)
+        if reason in steering.REFUSALS or reason is steering.RESET_UNRESPONSIVE:
+            host, answer = self._codec.reset(packet)
             endpoint = (host, self.config.packets[1])
             self._submit(
                 pacing.Datagram(data=answer, endpoint=endpoint, flow=packet.flow, is_opening=True),
                 now_s,
             )
-            self._output.write(events.FLOW_REFUSED, "steer", self._codec.describe(data), detail)
+            is_refusal = reason in steering.REFUSALS
+            event = events.FLOW_REFUSED if is_refusal else events.FLOW_RESET
+            if not is_refusal:
+                detail = f"{detail}, {self.steering.explain(packet.flow)}"
+            self._output.write(event, "steer", self._codec.describe(data), detail)
         else:
             self._output.write(events.FLOW_DROPPED, "steer", self._codec.describe(data), detail)
 
@@ -267,6 +271,8 @@
             self._drop(f"send_{error.errno}")
 
     def _schedule_pacer(self, now_s: float) -> None:
+        if self._pacer:
+            self.steering.record_link_busy(now_s)
         if self._pacer and self._pacer_timer is None:
             delay_s = max(0.0, self._pacer.next_send_s - now_s)
             self._pacer_timer = asyncio.get_running_loop().call_later(delay_s, self._send_due)
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -53,7 +53,7 @@
     315, "stop_out_of_turn", "An entry VM ends though too few of its zone stay in rotation."
 )
 DATAGRAM_REFUSED = _define(401, "datagram_refused", "A control datagram was dropped.")
-FLOW_RESET = _define(402, "flow_reset", "A flow was reset at both ends; its outcome is unknown.")
+FLOW_RESET = _define(402, "flow_reset", "An open flow was reset; the outcome is unknown.")
 FLOW_REFUSED = _define(403, "flow_refused", "An opening was refused; nothing of it was run.")
 INVARIANT_BROKEN = _define(901, "invariant_broken", "A promise of the program did not hold.")
 REPLICA_ROLE = _define(501, "replica_role", "A control replica became leader or follower.")
--- a/zinniaspoke/rules.py
+++ b/zinniaspoke/rules.py
@@ -41,6 +41,13 @@
     return _positive_number("wait_s", text)
 
 
+@_option("idempotent")
+def _parse_idempotent(text: str) -> bool:
+    if text not in ("yes", "no"):
+        raise ValueError(f"idempotent is yes or no, not {text!r}")
+    return text == "yes"
+
+
 @_option("split")
 def _parse_split(text: str) -> tuple[tuple[str, int], ...]:
     """Parses ``SERVICE:WEIGHT,SERVICE:WEIGHT,…``."""
@@ -79,6 +86,7 @@
         wait_s: Longest time that the first packet of a flow waits for a free slot.
         split: Services and weights among which new flows are split; if empty, all new flows go to
             ``service``.
+        idempotent: Whether callers may repeat a request whose outcome they do not know.
         comment: Who asked for the rule and why.
         line: Line number in the file.
     """
@@ -91,6 +99,7 @@
     idle_s: float = 900.0
     wait_s: float = 2.0
     split: tuple[tuple[str, int], ...] = ()
+    idempotent: bool = False
     comment: str
     line: int
 
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -40,6 +40,12 @@
 RECORD_TIMEOUT_S = 15.0
 CLOSED_RECORD_TIMEOUT_S = 3.0
 SWEEP_INTERVAL_S = 0.5
+# A target acknowledges a request's packet, at the latest its first retransmission, long before the
+# request is done. Two retransmissions, after 0.2 s and 0.6 s, mean that the target is unreachable.
+RESET_AFTER_RETRANSMIT_COUNT = 2
+RESET_AFTER_S = 0.5
+# One is enough for a target whose openings go unanswered or whose announcements have stopped.
+SUSPECTED_RESET_AFTER_RETRANSMIT_COUNT = 1
 
 REFUSED_NO_ROUTE = errors.Nothing(reason="refused_no_route")
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
@@ -48,6 +54,8 @@
 DROPPED_NOT_FRESH = errors.Nothing(reason="dropped_not_fresh")
 DROPPED_WAITED_TOO_LONG = errors.Nothing(reason="dropped_waited_too_long")
 DROPPED_RULES_CHANGED = errors.Nothing(reason="dropped_rules_changed")
+# Ends an open flow without promising anything about its request.
+RESET_UNRESPONSIVE = errors.Nothing(reason="reset_unresponsive_target")
 REFUSALS = (REFUSED_NO_ROUTE, REFUSED_NO_TARGET, backlog.REFUSED_TOO_MANY_WAITING)
 NO_CAPACITY = errors.Nothing(reason="no_place")
 # Not final: the opening is queued and forwarded later.
@@ -110,6 +118,10 @@
         counted_since_s: When it last began to count as load.
         last_packet_s: When its last packet arrived.
         acknowledged: The acknowledgment number of its last packet.
+        sequence: Position of its last payload; -1 before the first.
+        payload_sent_s: When that payload was first forwarded.
+        retransmit_s: When it was last retransmitted.
+        retransmit_count: How often it was retransmitted without an answer.
         is_counted: Whether it counts as load: the handshake or a request is in progress.
     """
 
@@ -120,8 +132,30 @@
     counted_since_s: float
     last_packet_s: float
     acknowledged: int = 0
+    sequence: int = -1
+    payload_sent_s: float = 0.0
+    retransmit_s: float = 0.0
+    retransmit_count: int = 0
     is_counted: bool = True
 
+    def record_payload(self, sequence: int, has_response: bool) -> None:
+        """Counts a payload that is forwarded: a new one, or a retransmission.
+
+        Copies that arrive together, after a suspension of this VM, count as one.
+
+        Args:
+            sequence: Position of the payload.
+            has_response: Whether the target has sent bytes since the last packet.
+        """
+        now_s = self.last_packet_s
+        if sequence != self.sequence or has_response:
+            self.sequence = sequence
+            self.payload_sent_s = self.retransmit_s = now_s
+            self.retransmit_count = 0
+        elif now_s - self.retransmit_s >= MIN_RETRANSMIT_S:
+            self.retransmit_s = now_s
+            self.retransmit_count += 1
+
 
 class Steering:
     """Chooses the target of each packet; does no I/O.
@@ -159,6 +193,7 @@
         self._sent_openings = collections.deque[tuple[float, Flow]]()
         self._revision = -1
         self._swept_s = 0.0
+        self._link_busy_s = -1e9
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -216,7 +251,7 @@
             return self._steer_opening(packet, now_s)
         flow = self._flows.get(packet.flow)
         if flow is None:
-            return self._steer_unrecorded(packet)
+            return self._steer_unrecorded(packet, now_s)
         flow.last_packet_s = now_s
         if flow.stage is Stage.OPENING:
             self._complete_handshake(flow, packet, now_s)
@@ -224,14 +259,66 @@
             self._update_load(flow, packet)
         if packet.kind is not Kind.DATA:
             self._close(flow)
+        elif flow.retransmit_count and self._is_unresponsive(flow, packet, now_s):
+            return self._reset(flow, now_s)
         return flow.target
 
-    def _steer_unrecorded(self, packet: Packet) -> roster.Target | errors.Nothing:
+    def _steer_unrecorded(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         if packet.kind is not Kind.DATA:
             for queue in self._backlogs.values():
                 queue.remove(packet.flow)
-        target = self._target_by_token.get(packet.token)
-        return DROPPED_UNKNOWN_TOKEN if target is None else target
+        load = self._loads.get(packet.token)
+        if load is None:
+            return DROPPED_UNKNOWN_TOKEN
+        if packet.kind is Kind.DATA and packet.has_payload:
+            flow = self._flows[packet.flow] = Flow(
+                target=load.target,
+                load=load,
+                stage=Stage.OPEN,
+                opening_sent_s=now_s,
+                counted_since_s=now_s,
+                last_packet_s=now_s,
+                acknowledged=packet.acknowledged,
+                is_counted=False,
+            )
+            self._update_load(flow, packet)
+        return load.target
+
+    # Unresponsive targets
+
+    def record_link_busy(self, now_s: float) -> None:
+        """Records that packets wait for this VM's link, so that silence proves nothing.
+
+        Args:
+            now_s: Current time.
+        """
+        self._link_busy_s = now_s
+
+    def _is_unresponsive(self, flow: Flow, packet: Packet, now_s: float) -> bool:
+        """Whether a request was retransmitted so often that its target must be unreachable.
+
+        Only flows of rules whose requests callers may repeat are reset; the others would gain
+        nothing.
+        """
+        load = flow.load
+        is_suspected = load.failure_count > 0 or load.is_silent
+        is_repeated = (
+            flow.retransmit_count >= RESET_AFTER_RETRANSMIT_COUNT
+            and now_s - flow.payload_sent_s >= RESET_AFTER_S
+        ) or (is_suspected and flow.retransmit_count >= SUSPECTED_RESET_AFTER_RETRANSMIT_COUNT)
+        is_heard = max(load.heard_s, load.answered_s) > flow.payload_sent_s
+        is_sent = self._link_busy_s < flow.payload_sent_s
+        if not is_repeated or is_heard or not is_sent:
+            return False
+        rule = self._rule_of(packet)
+        return not isinstance(rule, errors.Nothing) and rule.idempotent
+
+    def _reset(self, flow: Flow, now_s: float) -> errors.Nothing:
+        if flow.load.record_failure(now_s):
+            self.newly_suspected.append(flow.target)
+        flow.stage = Stage.CLOSED
+        self._uncount_as_load(flow)
+        return RESET_UNRESPONSIVE
 
     # Openings
 
@@ -388,6 +475,8 @@
         flow.stage = Stage.OPEN
         self._count_as_load(flow)
         flow.acknowledged = packet.acknowledged
+        if packet.has_payload:
+            flow.record_payload(packet.sequence, has_response=True)
         answered.record_answer(now_s)
         self.counters.histograms["handshake"].note(now_s - flow.opening_sent_s)
         self.counters.events["flows_opened"] += 1
@@ -399,7 +488,10 @@
         """
         has_response = packet.acknowledged != flow.acknowledged
         flow.acknowledged = packet.acknowledged
+        if has_response:
+            flow.load.heard_s = flow.last_packet_s
         if packet.has_payload:
+            flow.record_payload(packet.sequence, has_response)
             self._count_as_load(flow)
         elif has_response:
             self._finish_request(flow)
