Run the replica in a thread of its own

Cause: a sync that the disk does not finish held up the control VM's event loop, with its links, announcements and subscribers. Change: adapters/replica_thread.py hands calls to the replica and its output back in order; the loop knows only the view that the replica last published. A replica that stands still is not current, so its subscribers turn to others; a leader whose disk stalls sends no heartbeats and is replaced. The inbox is bounded, and timers run after the messages that waited. This departs from one thread, since no loop can wait for a disk.

--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,33 +1,25 @@
 """The coordinator: gossip of announcements, completeness of the roster, updates to subscribers."""
 
-import random
-
 import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from test_roster import target
 
-from zinniaspoke import control, coordinator, errors, feed, log, roster, storage
+from zinniaspoke import coordinator, errors, feed, roster
 
 DRAINING, ENDED = roster.State.DRAINING, roster.State.ENDED
 INTERVAL_S = 1.2
 
 
 def make(name="a:1", now_s=0.0):
-    core = control.Control(
-        name=name,
-        initial_voters=("a:1", "b:1", "c:1"),
-        entries=log.Log(files=storage.MemoryStorage(rng=random.Random(1))),
-        rng=random.Random(1),
-        now_s=now_s,
-        numbering="highest",
-        voter_count=3,
-        accepts_new_members=True,
-    )
     targets = roster.Roster(silent_after_s=3 * INTERVAL_S, retain_s=60.0)
     return coordinator.Coordinator(
-        name=name, core=core, targets=targets, announcement_interval_s=INTERVAL_S, now_s=now_s
+        name=name,
+        seeds=("a:1", "b:1", "c:1"),
+        targets=targets,
+        announcement_interval_s=INTERVAL_S,
+        now_s=now_s,
     )
 
 
--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -3,16 +3,19 @@
 import asyncio
 import json
 import socket
+import threading
 
 import control as control_program
 import packet
 import pytest
 from test_platform import BEAT, document, route
 
-from zinniaspoke import errors, events, lean_settings, ports, siblings
+from zinniaspoke import consensus, errors, events, lean_settings, ports, siblings, storage
 from zinniaspoke.adapters import page
 from zinniaspoke.daemons import lean, lean_control, lean_entry
 
+LEADER = consensus.Role.LEADER
+BEAT_DATA = json.dumps(BEAT).encode()
 HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 LIMIT_S = 20.0
 
@@ -125,7 +128,7 @@
 async def founded(site):
     for host in HOSTS:
         await site.start_control(host)
-    await site.until(lambda: any(c.core.replica.leader for c in site.controls.values()))
+    await site.until(lambda: any(c.replica.leader for c in site.controls.values()))
 
 
 def test_manifest_is_accepted_anywhere_read_anywhere_and_outlives_a_restart(site):
@@ -219,6 +222,91 @@
     asyncio.run(play())
 
 
+class StallingDisk(storage.DiskStorage):
+    """A disk whose writes are not synced until it is released."""
+
+    released = {}
+
+    def sync(self, name):
+        self.released.setdefault(self._folder.name, threading.Event())
+        if not self.released[self._folder.name].wait(LIMIT_S):
+            raise AssertionError("the disk was not released")
+        super().sync(name)
+
+
+@pytest.fixture
+def disks(monkeypatch):
+    monkeypatch.setattr(storage, "DiskStorage", StallingDisk)
+    released = {host: threading.Event() for host in HOSTS}
+    monkeypatch.setattr(StallingDisk, "released", released)
+    for event in released.values():
+        event.set()
+    yield released
+    for event in released.values():
+        event.set()
+
+
+def test_leader_whose_disk_stalls_gives_way_and_serves_all_that_needs_no_disk(site, disks):
+    async def play():
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        host = next(h for h, c in site.controls.items() if c.replica.role is LEADER)
+        others = tuple(h for h in HOSTS if h != host)
+        await site.start_entry()
+        await site.until(lambda: site.entry.is_ready)
+        disks[host].clear()
+        stalled = site.controls[host]
+        # A write that the disk does not finish.
+        pending = asyncio.ensure_future(
+            site.call(host, "PUT", "/api/config", document(route(), version=6))
+        )
+        await site.until(lambda: any(site.controls[h].replica.role is LEADER for h in others))
+        assert await site.put(document(route(timeout_ms=9), version=7), others) == 200
+        assert (await site.call(host, "PUT", "/api/instances/i-7f3a91c2", BEAT_DATA))[0] == 200
+        await site.until(lambda: site.entry.view.targets.find("i-7f3a91c2"))
+        assert (await site.call(host, "GET", "/api/config"))[0] == 503
+        assert await pending == (503, b"{}")
+        assert not stalled.replica.is_current(lean.now_s())
+        assert site.entry.view.rules.number == 7
+        disks[host].set()
+        await site.until(lambda: stalled.replica.rules.number == 7)
+        status, body = await site.call(host, "GET", "/api/config")
+        assert (status, body) == (200, document(route(timeout_ms=9), version=7))
+        await site.entry.leave()
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_control_vm_whose_disk_stalls_from_its_start_on_takes_announcements(site, disks):
+    async def play():
+        disks[HOSTS[2]].clear()
+        for host in HOSTS:
+            await site.start_control(host)
+        path = "/api/instances/i-7f3a91c2"
+        assert (await site.call(HOSTS[2], "PUT", path, BEAT_DATA))[0] == 200
+        await site.until(lambda: len(site.controls[HOSTS[0]]._coordinator.targets))
+        disks[HOSTS[2]].set()
+        assert await site.put(document(route(), version=5)) == 200
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_control_vm_that_cannot_read_its_disk_ends(site, monkeypatch):
+    class BrokenDisk(storage.DiskStorage):
+        def read(self, name):
+            raise errors.StorageError(step=f"read {name}", peer="disk", reason="broken")
+
+    async def play():
+        monkeypatch.setattr(storage, "DiskStorage", BrokenDisk)
+        await site.start_control(HOSTS[0])
+        with pytest.raises(errors.StorageError, match="broken"):
+            await site.controls[HOSTS[0]].task
+
+    asyncio.run(play())
+
+
 def test_planned_stop_sends_what_waits_for_the_link_first(site):
     """The link needs 1.4 s for what has arrived; a stop without packets would end after 1 s."""
 
--- a/zinniaspoke/control.py
+++ b/zinniaspoke/control.py
@@ -38,6 +38,47 @@
     detail: str
 
 
+@attrs.frozen(kw_only=True)
+class View:
+    """A replica's state after a step, for code that must not wait for the replica's disk.
+
+    Attributes:
+        taken_s: Time of the step.
+        role: The replica's role.
+        leader: Name of the leader, or empty if it is not known.
+        term: Its term.
+        commit_index: Index of the last entry known to be committed.
+        is_voter: Whether it is a voter.
+        has_leader: Whether it led with a majority, or had heard from such a leader.
+        rules: The newest accepted rule file.
+        voters: The voters, as NAME/IDENTITY.
+        learners: The learners, as NAME/IDENTITY.
+    """
+
+    taken_s: float = -1e9
+    role: consensus.Role = consensus.Role.OUTSIDER
+    leader: str = ""
+    term: int = 0
+    commit_index: int = 0
+    is_voter: bool = False
+    has_leader: bool = False
+    rules: control_pb2.RuleFile = attrs.field(factory=control_pb2.RuleFile)
+    voters: tuple[str, ...] = ()
+    learners: tuple[str, ...] = ()
+
+    def is_current(self, now_s: float) -> bool:
+        """Whether the rules can be vouched for: a replica that stands still hears no leader.
+
+        Args:
+            now_s: Current time.
+        """
+        return self.has_leader and now_s - self.taken_s < consensus.ELECTION_TIMEOUT_MAX_S
+
+    def member_names(self) -> set[str]:
+        """Returns the names of all members."""
+        return {consensus.name_of(member) for member in (*self.voters, *self.learners)}
+
+
 @attrs.define(kw_only=True, slots=True)
 class _Request:
     """A pending submission or read.
@@ -301,6 +342,26 @@
             if decision.verdict is not submissions.Verdict.ACCEPTED:
                 self._answer_decision(request, decision)
 
+    def view(self, now_s: float) -> View:
+        """Returns the current state.
+
+        Args:
+            now_s: Current time.
+        """
+        replica = self.replica
+        return View(
+            taken_s=now_s,
+            role=replica.role,
+            leader=replica.leader,
+            term=replica.term,
+            commit_index=replica.commit_index,
+            is_voter=replica.is_voter,
+            has_leader=replica.has_leader(now_s),
+            rules=self.history.current,
+            voters=tuple(replica.replica_set.voters),
+            learners=tuple(replica.replica_set.learners),
+        )
+
     def status(self) -> control_pb2.StatusReply:
         """Returns the replica's role, term, log position and rule number."""
         return control_pb2.StatusReply(
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -38,28 +38,38 @@
 
 
 class Coordinator:
-    """Tracks targets and entry VMs, gossips with other control VMs and builds updates; no I/O."""
+    """Tracks targets and entry VMs, gossips with other control VMs and builds updates; no I/O.
+
+    Attributes:
+        name: This VM's name, HOST:PORT.
+        seeds: Names of control VMs besides the members of the replica set.
+        replica: What this VM's replica last published.
+        targets: The roster.
+        entry_vms: Rotation states of the entry VMs.
+        notices: Events to log; cleared by whoever logs them.
+    """
 
     def __init__(
         self,
         *,
         name: str,
-        core: control.Control,
+        seeds: tuple[str, ...],
         targets: roster.Roster,
         announcement_interval_s: float,
         now_s: float,
     ) -> None:
-        """Starts with an empty roster.
+        """Starts with an empty roster and without rules.
 
         Args:
             name: This VM's name, HOST:PORT.
-            core: The replicated rules.
+            seeds: Names of control VMs besides the members of the replica set.
             targets: The roster.
             announcement_interval_s: Interval at which targets announce themselves.
             now_s: Current time.
         """
         self.name = name
-        self.core = core
+        self.seeds = seeds
+        self.replica = control.View()
         self.targets = targets
         self._complete_at_s = now_s + COMPLETE_AFTER_INTERVALS * announcement_interval_s
         self._is_complete = False
@@ -200,8 +210,7 @@
 
     def controls(self) -> tuple[str, ...]:
         """Returns the names of all known control VMs, this one included."""
-        replica = self.core.replica
-        return tuple(sorted({self.name, *replica.discovery.seeds, *replica.member_names()}))
+        return tuple(sorted({self.name, *self.seeds, *self.replica.member_names()}))
 
     def update_for(self, subscriber: Subscriber, now_s: float) -> feed.Update | None:
         """Returns the update to send to a subscriber, or None if there is nothing to send.
@@ -210,7 +219,7 @@
             subscriber: What it has been sent; this call records the returned update in it.
             now_s: Current time.
         """
-        rules = self.core.history.current
+        rules = self.replica.rules
         siblings_revision = self.entry_vms.revision(subscriber.zone)
         has_new_siblings = subscriber.siblings_revision != siblings_revision
         has_changed = (
@@ -231,7 +240,7 @@
             controls=self.controls(),
             number=rules.number,
             content=content,
-            is_current=self.core.replica.has_leader(now_s),
+            is_current=self.replica.is_current(now_s),
             is_complete=self.is_complete(now_s),
             entry_vms=self.entry_vms.in_zone(subscriber.zone) if has_new_siblings else None,
         )
@@ -248,10 +257,8 @@
                 silence_s = now_s - entry.heard_s
                 detail = f"{entry.target.service}, no announcement for {silence_s:.1f} s"
                 self._note(events.TARGET_SILENT, entry.target.identity, detail)
-        replica_set = self.core.replica.replica_set
-        description = (
-            f"voters {','.join(replica_set.voters)} learners {','.join(replica_set.learners)}"
-        )
+        voters, learners = self.replica.voters, self.replica.learners
+        description = f"voters {','.join(voters)} learners {','.join(learners)}"
         if description != self._logged_replica_set:
             self._logged_replica_set = description
             self._note(events.SET_CHANGED, self.name, description)
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -4,6 +4,8 @@
 import json
 import random
 
+import attrs
+
 from zinniaspoke import (
     consensus,
     control,
@@ -19,7 +21,7 @@
     siblings,
     storage,
 )
-from zinniaspoke.adapters import exposition, links, page
+from zinniaspoke.adapters import exposition, links, page, replica_thread
 from zinniaspoke.daemons import lean
 from zinniaspoke.proto import control_pb2
 
@@ -34,6 +36,21 @@
 _FINAL = (control_pb2.SUBMIT_OUTCOME_YES, control_pb2.SUBMIT_OUTCOME_NO)
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class _Caller:
+    """Whoever waits for an answer: a call to this VM, or another control VM that passed one on.
+
+    Attributes:
+        waiting: The call to this VM, or None.
+        link: Where the answer goes, or None.
+        ticket: The other control VM's ticket.
+    """
+
+    waiting: asyncio.Future[control_pb2.CallReply | None] | None = None
+    link: links.Link | None = None
+    ticket: int = 0
+
+
 class LeanControl(links.Owner, lean.Program):
     """Joins the coordinator with sockets and the disk.
 
@@ -57,10 +74,13 @@
         self._controls_in: dict[links.Link, str] = {}
         self._diallers: dict[str, links.Dialler] = {}
         self._used_s: dict[str, float] = {}
-        self._local: dict[int, asyncio.Future[control_pb2.CallReply]] = {}
-        self._remote: dict[int, asyncio.Future[control_pb2.CallReply]] = {}
-        self._passed: dict[int, tuple[links.Link, int]] = {}
+        # Whoever waits for an answer of this VM's replica, by ticket.
+        self._waiting: dict[int, _Caller] = {}
+        self._remote: dict[int, asyncio.Future[control_pb2.CallReply | None]] = {}
         self._next_ticket = 0
+        self._replica = replica_thread.ReplicaThread(
+            open_core=self._open_core, clock=lean.now_s, deliver=self._take_output
+        )
         self._servers: list[asyncio.AbstractServer] = []
         self.task: asyncio.Task[None] | None = None
         self._open_call_count = 0
@@ -76,21 +96,9 @@
         """
         config = self.config
         now_s = lean.now_s()
-        files = storage.DiskStorage(folder=config.data_folder)
-        core = control.Control(
-            name=config.peer_name,
-            initial_voters=config.seeds,
-            entries=log.Log(files=files),
-            rng=random.Random(),
-            now_s=now_s,
-            numbering=config.numbering,
-            voter_count=config.voter_count,
-            accepts_new_members=True,
-            may_bootstrap=config.may_bootstrap,
-        )
         self._coordinator = coordinator.Coordinator(
             name=config.peer_name,
-            core=core,
+            seeds=config.seeds,
             targets=roster.Roster(
                 silent_after_s=roster.MISSED_ANNOUNCEMENTS * config.announcement_interval_s,
                 retain_s=config.flow_life_s + roster.RETAIN_SLACK_S,
@@ -104,14 +112,30 @@
             *await lean.serve_metrics(config, self.metrics, self._output),
         ]
         self._sync_diallers(now_s)
+        self._replica.start()
         self.task = asyncio.get_running_loop().create_task(self._tick_forever())
         self._output.write(events.PROCESS_STARTED, "start", config.name, config.peer_name)
 
+    def _open_core(self) -> control.Control:
+        """Reads back the replica's state from the disk."""
+        config = self.config
+        return control.Control(
+            name=config.peer_name,
+            initial_voters=config.seeds,
+            entries=log.Log(files=storage.DiskStorage(folder=config.data_folder)),
+            rng=random.Random(),
+            now_s=lean.now_s(),
+            numbering=config.numbering,
+            voter_count=config.voter_count,
+            accepts_new_members=True,
+            may_bootstrap=config.may_bootstrap,
+        )
+
     def metrics(self) -> bytes:
         """Returns what this process counted, as text."""
-        replica = self.core.replica
+        replica = self.replica
         gauges = {
-            "rules_number": self.core.history.number,
+            "rules_number": replica.rules.number,
             "targets": len(self._coordinator.targets),
             "followers": len(self._subscribers),
             "term": replica.term,
@@ -122,9 +146,9 @@
         return exposition.render(self.counters, gauges)
 
     @property
-    def core(self) -> control.Control:
-        """The agreement."""
-        return self._coordinator.core
+    def replica(self) -> control.View:
+        """What this VM's replica last published."""
+        return self._coordinator.replica
 
     def reload(self, config: lean_settings.Control) -> None:
         """Takes changed settings.
@@ -133,7 +157,8 @@
             config: The new settings.
         """
         self.config = config
-        self.core.replica.discovery.seeds = config.seeds
+        self._coordinator.seeds = config.seeds
+        self._replica.set_seeds(config.seeds)
         self._sync_diallers(lean.now_s())
         self._output.write(
             events.SETTINGS_CHANGED, "reload", config.name, f"seeds {','.join(config.seeds)}"
@@ -182,19 +207,20 @@
         """See ``links.Owner.frame_received``."""
         try:
             self._take_frame(link, kind, payload, lean.now_s())
-        except errors.StorageError as error:
-            self._tell_disk(error)
         except (errors.DatagramError, ValueError) as error:
             self._output.write(events.DATAGRAM_REFUSED, kind.name, link.peer, str(error))
         self._flush()
 
     def _take_frame(self, link: links.Link, kind: links.Kind, payload: bytes, now_s: float) -> None:
         if kind is links.Kind.REPLICA:
-            self.core.receive(control_pb2.ReplicaMessage.FromString(payload), now_s)
+            if not self._replica.receive(control_pb2.ReplicaMessage.FromString(payload)):
+                self.counters.drops["replica_inbox_full"] += 1
         elif kind is links.Kind.GOSSIP:
             self._coordinator.receive_gossip(feed.decode(payload, link.peer, now_s), now_s)
         elif kind is links.Kind.CALL:
-            self._take_call(link, control_pb2.Call.FromString(payload), now_s)
+            call = control_pb2.Call.FromString(payload)
+            file = call.file if call.HasField("file") else None
+            self._replica.enter(file, _Caller(link=link, ticket=call.ticket))
         elif kind is links.Kind.REPLY:
             reply = control_pb2.CallReply.FromString(payload)
             self._resolve(self._remote.pop(reply.ticket, None), reply)
@@ -275,72 +301,56 @@
             waiting = self._start_call(file)
             if waiting is not None:
                 done, _ = await asyncio.wait((waiting,), timeout=left_s)
-                if done and waiting.result().reply.outcome in _FINAL:
-                    return waiting.result()
+                answer = waiting.result() if done else None
+                if answer is not None and answer.reply.outcome in _FINAL:
+                    return answer
                 self._forget(waiting)
             await asyncio.sleep(CALL_RETRY_S)
         return None
 
-    def _forget(self, waiting: asyncio.Future[control_pb2.CallReply]) -> None:
+    def _forget(self, waiting: asyncio.Future[control_pb2.CallReply | None]) -> None:
         """Drops a call that nobody waits for; its leader may be gone."""
-        for table in (self._local, self._remote):
-            for ticket in [t for t, future in table.items() if future is waiting]:
-                del table[ticket]
+        for ticket in [t for t, future in self._remote.items() if future is waiting]:
+            del self._remote[ticket]
 
     def _start_call(
         self, file: control_pb2.RuleFile | None
-    ) -> asyncio.Future[control_pb2.CallReply] | None:
+    ) -> asyncio.Future[control_pb2.CallReply | None] | None:
         waiting = asyncio.get_running_loop().create_future()
-        replica = self.core.replica
-        if replica.role is consensus.Role.LEADER:
-            ticket = self._enter(file)
-            if ticket is None:
-                return None
-            self._local[ticket] = waiting
-        elif replica.leader in self._diallers:
+        if self.replica.role is consensus.Role.LEADER:
+            self._replica.enter(file, _Caller(waiting=waiting))
+        elif self.replica.leader in self._diallers:
             self._next_ticket += 1
             self._remote[self._next_ticket] = waiting
             call = control_pb2.Call(ticket=self._next_ticket, file=file)
-            if not self._send(replica.leader, links.Kind.CALL, call.SerializeToString()):
+            if not self._send(self.replica.leader, links.Kind.CALL, call.SerializeToString()):
                 return None
         else:
             return None
-        self._flush()
         return waiting
 
-    def _enter(self, file: control_pb2.RuleFile | None) -> int | None:
-        """Hands a call to the agreement; None where the disk refused it."""
-        now_s = lean.now_s()
-        try:
-            if file is None:
-                return self.core.read(now_s)
-            return self.core.submit(file.number, file.content, now_s, file.source)
-        except errors.StorageError as error:
-            self._tell_disk(error)
-            return None
-
     def _tell_disk(self, error: errors.StorageError) -> None:
         self.counters.events["disk_failures"] += 1
         self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
 
-    def _take_call(self, link: links.Link, call: control_pb2.Call, now_s: float) -> None:
-        ticket = self._enter(call.file if call.HasField("file") else None)
-        if ticket is not None:
-            self._passed[ticket] = (link, call.ticket)
-
     @staticmethod
     def _resolve(
-        waiting: asyncio.Future[control_pb2.CallReply] | None, reply: control_pb2.CallReply
+        waiting: asyncio.Future[control_pb2.CallReply | None] | None,
+        reply: control_pb2.CallReply | None,
     ) -> None:
         if waiting is not None and not waiting.done():
             waiting.set_result(reply)
 
     def _deliver(self, answer: control.Answer) -> None:
-        reply = control_pb2.CallReply(reply=answer.reply, file=self.core.history.current)
-        self._resolve(self._local.pop(answer.ticket, None), reply)
-        link, reply.ticket = self._passed.pop(answer.ticket, (None, 0))
-        if link is not None:
-            link.send(links.Kind.REPLY, reply.SerializeToString())
+        caller = self._waiting.pop(answer.ticket, None)
+        if caller is None:
+            return
+        reply = control_pb2.CallReply(
+            reply=answer.reply, file=self.replica.rules, ticket=caller.ticket
+        )
+        self._resolve(caller.waiting, reply)
+        if caller.link is not None:
+            caller.link.send(links.Kind.REPLY, reply.SerializeToString())
 
     # Output
 
@@ -356,22 +366,36 @@
                 return True
         return False
 
-    def _flush(self) -> None:
-        """Sends what the cores have to say: subscribers first, then whoever waits for an answer."""
+    def _take_output(self, output: replica_thread.Output) -> None:
+        """Sends what a step of the replica produced: subscribers first, then whoever waits."""
         now_s = lean.now_s()
-        for message in self.core.take_messages():
+        self._coordinator.replica = output.view
+        for message in output.messages:
             name = consensus.name_of(message.recipient)
             self._used_s[name] = now_s
             self._send(name, links.Kind.REPLICA, message.SerializeToString())
+        self._flush()
+        for ticket, caller in output.entered:
+            self._waiting[ticket] = caller
+        for caller in output.refused:
+            self._resolve(caller.waiting, None)
+        for answer in output.answers:
+            self._deliver(answer)
+        for notice in output.notices:
+            self._output.write(notice.event, "decide", notice.peer, notice.detail)
+        if output.disk_error is not None:
+            self._tell_disk(output.disk_error)
+
+    def _flush(self) -> None:
+        """Sends updates to subscribers and gossip to other control VMs."""
+        now_s = lean.now_s()
         self._feed_subscribers(now_s)
         gossip = self._coordinator.take_gossip(now_s)
         if gossip is not None:
             data = feed.encode(gossip, now_s)
             for name in self._diallers:
                 self._send(name, links.Kind.GOSSIP, data)
-        for answer in self.core.take_answers():
-            self._deliver(answer)
-        for notice in (*self.core.take_notices(), *self._coordinator.notices):
+        for notice in self._coordinator.notices:
             self._output.write(notice.event, "decide", notice.peer, notice.detail)
         self._coordinator.notices.clear()
 
@@ -385,10 +409,9 @@
         while True:
             await asyncio.sleep(TICK_S)
             now_s = lean.now_s()
-            try:
-                self.core.tick(now_s)
-            except errors.StorageError as error:
-                self._tell_disk(error)
+            if self._replica.failure is not None:
+                raise self._replica.failure
+            self._replica.tick()
             self._coordinator.tick(now_s)
             self._sync_diallers(now_s)
             for link in (*self._subscribers, *self._controls_in):
@@ -402,11 +425,9 @@
         deadline_s = lean.now_s() + TRANSFER_LIMIT_S
         while self._open_call_count and lean.now_s() < deadline_s:
             await asyncio.sleep(TICK_S)
-        if self.core.replica.transfer_leadership(lean.now_s()):
-            self._flush()
-            while lean.now_s() < deadline_s:
-                if self.core.replica.role is not consensus.Role.LEADER:
-                    break
-                await asyncio.sleep(TICK_S)
+        self._replica.transfer_leadership()
+        while self.replica.role is consensus.Role.LEADER and lean.now_s() < deadline_s:
+            await asyncio.sleep(TICK_S)
+        self._replica.stop()
         self.task.cancel()
         self._output.write(events.PROCESS_STOPPED, "stop", self.config.name, "")
