Avoid an availability zone that is cut off as a whole

Two targets of a zone that fail, with no answer from any of the zone since, make the zone suspected: no new flows but one probe, at 1 to 4 s, and one retransmission is enough to reset a flow there. An answer clears it. Where all zones are suspected none is avoided.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -212,7 +212,7 @@
     """Without further openings a recovery, as after a zone partition, would go unnoticed."""
     vm, _ = vm_at_limit()
     load = next(iter(vm.core._loads.values()))
-    load.record_failure(vm.now_s)
+    load.record_failure(vm.now_s - 0.2, vm.now_s)
     assert vm.packet(flow(100)).identity == "i-1"
 
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -280,7 +280,7 @@
     choose = choosing.create(policy, random.Random(1))
     good, bad = choosing.Load(target=target(1)), choosing.Load(target=target(2))
     for _ in range(choosing.FAILURE_THRESHOLD):
-        bad.record_failure(10.0)
+        bad.record_failure(9.8, 10.0)
     assert all(choose(choosing.eligible([good, bad], 10.1), 10.1) is good for _ in range(20))
     assert choose(choosing.eligible([bad], 10.1), 10.1) is bad
 
--- a/zinniaspoke/choosing.py
+++ b/zinniaspoke/choosing.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from zinniaspoke import roster
+from zinniaspoke import roster, zones
 
 DEFAULT_POLICY = "least_open"
 # Consecutive unanswered openings after which a target is suspected. One is enough while other
@@ -39,9 +39,11 @@
         is_silent: Whether its announcements have stopped.
         answered_s: When it last answered an opening.
         heard_s: When a caller last acknowledged bytes from it.
+        zone: Health of its availability zone.
     """
 
     target: roster.Target
+    zone: zones.ZoneHealth = attrs.field(factory=zones.ZoneHealth)
     in_flight_count: int = 0
     last_placed_s: float = -1e9
     failure_count: int = 0
@@ -64,16 +66,18 @@
         """
         return self.failure_count > 0 or self.in_flight_count < self.in_flight_limit
 
-    def record_failure(self, now_s: float) -> bool:
-        """Counts an unanswered opening.
+    def record_failure(self, sent_s: float, now_s: float) -> bool:
+        """Counts an unanswered opening or request.
 
         Args:
+            sent_s: When it was sent.
             now_s: Current time.
 
         Returns:
             Whether the target became suspected by this failure.
         """
         self.failure_count += 1
+        self.zone.record_failure(self.target.token, sent_s, now_s)
         if self.failure_count < FAILURE_THRESHOLD:
             return False
         was_suspected = now_s < self.suspected_until_s
@@ -91,9 +95,27 @@
         self.answered_s = now_s
         self.failure_count = 0
         self.suspected_until_s = -1e9
+        self.zone.record_answer(now_s)
+
+    def record_bytes(self, now_s: float) -> None:
+        """Records that a caller has received bytes from it.
+
+        Args:
+            now_s: Current time.
+        """
+        self.heard_s = now_s
+        self.zone.record_answer(now_s)
+
+    def record_placement(self, now_s: float) -> None:
+        """Records a new flow.
+
+        Args:
+            now_s: Current time.
+        """
+        self.last_placed_s = self.zone.probed_s = now_s
 
     def is_eligible(self, now_s: float) -> bool:
-        """Whether new flows may be placed there.
+        """Whether new flows may be placed there; never in a suspected zone.
 
         After the suspicion ends, a target is probed with one flow per ``SUSPICION_BASE_S`` until it
         answers.
@@ -101,6 +123,8 @@
         Args:
             now_s: Current time.
         """
+        if not self.zone.is_eligible(now_s):
+            return False
         if self.failure_count < FAILURE_THRESHOLD:
             return True
         return now_s >= self.suspected_until_s and now_s - self.last_placed_s > SUSPICION_BASE_S
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -21,6 +21,7 @@
     roster,
     rules,
     subscription,
+    zones,
 )
 
 # Callers retransmit an opening after 0.2 s; a copy that arrives sooner was delayed in transit.
@@ -44,7 +45,8 @@
 # request is done. Two retransmissions, after 0.2 s and 0.6 s, mean that the target is unreachable.
 RESET_AFTER_RETRANSMIT_COUNT = 2
 RESET_AFTER_S = 0.5
-# One is enough for a target whose openings go unanswered or whose announcements have stopped.
+# One is enough for a target whose openings go unanswered, whose announcements have stopped or whose
+# zone is suspected.
 SUSPECTED_RESET_AFTER_RETRANSMIT_COUNT = 1
 
 REFUSED_NO_ROUTE = errors.Nothing(reason="refused_no_route")
@@ -185,6 +187,7 @@
         self.newly_suspected: list[roster.Target] = []
         self._flows: dict[bytes, Flow] = {}
         self._loads: dict[int, choosing.Load] = {}
+        self._zones = collections.defaultdict[str, zones.ZoneHealth](zones.ZoneHealth)
         self._target_by_token: dict[int, roster.Target] = {}
         self._ready_by_service: dict[str, list[choosing.Load]] = {}
         self._backlogs = collections.defaultdict(backlog.Backlog)
@@ -226,7 +229,9 @@
                 continue
             load = self._loads.get(target.token)
             if load is None:
-                load = self._loads[target.token] = choosing.Load(target=target)
+                load = self._loads[target.token] = choosing.Load(
+                    target=target, zone=self._zones[target.zone]
+                )
             load.target = target
             load.is_silent = not self._view.is_alive(target.identity)
             if target.state is roster.State.READY:
@@ -301,7 +306,7 @@
         nothing.
         """
         load = flow.load
-        is_suspected = load.failure_count > 0 or load.is_silent
+        is_suspected = load.failure_count > 0 or load.is_silent or load.zone.is_suspected
         is_repeated = (
             flow.retransmit_count >= RESET_AFTER_RETRANSMIT_COUNT
             and now_s - flow.payload_sent_s >= RESET_AFTER_S
@@ -314,7 +319,7 @@
         return not isinstance(rule, errors.Nothing) and rule.idempotent
 
     def _reset(self, flow: Flow, now_s: float) -> errors.Nothing:
-        if flow.load.record_failure(now_s):
+        if flow.load.record_failure(flow.payload_sent_s, now_s):
             self.newly_suspected.append(flow.target)
         flow.stage = Stage.CLOSED
         self._uncount_as_load(flow)
@@ -374,7 +379,7 @@
         if not free:
             return NO_CAPACITY
         load = self._choose(free, now_s)
-        load.last_placed_s = now_s
+        load.record_placement(now_s)
         return load
 
     # Queued openings
@@ -447,7 +452,7 @@
             return flow.target
         # A target that answered another opening meanwhile is reachable; this opening was lost.
         is_unresponsive = flow.load.answered_s < flow.opening_sent_s
-        if is_unresponsive and flow.load.record_failure(now_s):
+        if is_unresponsive and flow.load.record_failure(flow.opening_sent_s, now_s):
             self.newly_suspected.append(flow.target)
         flow.opening_sent_s = now_s
         self._sent_openings.append((now_s, flow))
@@ -489,7 +494,7 @@
         has_response = packet.acknowledged != flow.acknowledged
         flow.acknowledged = packet.acknowledged
         if has_response:
-            flow.load.heard_s = flow.last_packet_s
+            flow.load.record_bytes(flow.last_packet_s)
         if packet.has_payload:
             flow.record_payload(packet.sequence, has_response)
             self._count_as_load(flow)
