Send the states of a zone's entry VMs to those that have to stop alone

Cause: each change of an entry VM's state sent the whole zone's list to every entry VM of the zone, from up to four control VMs: the bytes to one VM grew with the square of the zone's size in a rolling restart. Control VMs' names went with every heartbeat, and the same update was encoded for each subscriber anew. Change: only an entry VM that has to stop is sent states, all of them once and then the changed ones; it waits 0.5 s at most for the first. Receivers expire lost VMs themselves. Names of control VMs are sent when they change. Equal updates are encoded once.

--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from test_roster import target
 
-from zinniaspoke import coordinator, errors, feed, roster
+from zinniaspoke import coordinator, errors, feed, roster, siblings
 
 DRAINING, ENDED = roster.State.DRAINING, roster.State.ENDED
 INTERVAL_S = 1.2
@@ -146,3 +146,56 @@
 def test_invalid_json_is_refused(body):
     with pytest.raises(errors.DatagramError):
         feed.decode(body, "peer", 0.0)
+
+
+def connect(vm, name, zone="a", state=siblings.State.READY, now_s=0.0):
+    subscriber = coordinator.Subscriber(name=name, zone=zone)
+    vm.record_subscriber_state(subscriber, state, now_s)
+    return subscriber
+
+
+def test_states_of_entry_vms_go_to_those_that_have_to_stop_alone_and_then_as_changes():
+    vm = make()
+    others = [connect(vm, f"vm-{n}") for n in range(5)]
+    own = connect(vm, "own")
+    assert vm.update_for(own, 0.0).entry_vms is None
+    vm.record_subscriber_state(own, siblings.State.STOPPING, 1.0)
+    first = vm.update_for(own, 1.0)
+    assert len(first.entry_vms) == 6
+    vm.record_subscriber_state(others[3], siblings.State.LEFT, 1.1)
+    second = round_trip(vm.update_for(own, 1.1))
+    assert [(s.name, s.state) for s in second.entry_vms] == [("vm-3", siblings.State.LEFT)]
+    assert vm.update_for(others[0], 1.1).entry_vms is None
+    assert vm.update_for(own, 1.2) is None
+
+
+@pytest.mark.parametrize("count", [4, 40, 400])
+def test_updates_to_an_entry_vm_do_not_grow_with_the_number_of_entry_vms(count):
+    """Rolling restart of a zone: every other entry VM goes through all states."""
+    vm = make()
+    own = connect(vm, "own")
+    vm.update_for(own, 0.0)
+    others = [connect(vm, f"vm-{n}") for n in range(count)]
+    size_bytes = 0
+    for step in range(count):
+        now_s = 1.0 + step * 4.0 / count
+        for state in siblings.State:
+            vm.record_subscriber_state(others[step], state, now_s)
+            update = vm.update_for(own, now_s)
+            size_bytes += 0 if update is None else len(feed.encode(update, now_s))
+    # Ten heartbeats of 0.4 s.
+    assert size_bytes <= 11 * HEARTBEAT_BYTES
+
+
+HEARTBEAT_BYTES = 100
+
+
+def test_heartbeat_without_changes_is_small_and_names_control_vms_only_when_they_change():
+    vm = make()
+    own = connect(vm, "own")
+    assert vm.update_for(own, 0.0).controls == ("a:1", "b:1", "c:1")
+    heartbeat = vm.update_for(own, 1.0)
+    assert heartbeat.controls == ()
+    assert len(feed.encode(heartbeat, 1.0)) <= HEARTBEAT_BYTES
+    vm.seeds = ("a:1", "d:1")
+    assert vm.update_for(own, 2.0).controls == ("a:1", "d:1")
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -5,7 +5,7 @@
 import pytest
 from test_steering import Vm, target
 
-from zinniaspoke import feed, subscription
+from zinniaspoke import feed, siblings, subscription
 
 
 def make(*seeds, now_s=0.0):
@@ -79,3 +79,26 @@
     vm.run(20.0)
     assert vm.view.targets.find("i-1") is None
     assert vm.view.targets.find("i-2") is not None
+
+
+def report(name, state, since_s):
+    sibling = siblings.Sibling(name=name, state=state, since_s=since_s)
+    return feed.Update(is_current=True, entry_vms=(sibling,))
+
+
+def test_states_of_siblings_are_unknown_before_a_report_and_then_merged_by_name():
+    view = make("c1:1", "c2:1")
+    view.apply_update("c1:1", feed.Update(is_current=True), 1.0)
+    assert view.entry_vms(1.0) is None
+    view.apply_update("c1:1", report("vm-1", siblings.State.READY, 0.5), 1.0)
+    view.apply_update("c1:1", report("vm-2", siblings.State.READY, 0.5), 1.1)
+    view.apply_update("c2:1", report("vm-1", siblings.State.LEFT, 1.1), 1.2)
+    states = {name: s.state for name, s in view.entry_vms(1.2).items()}
+    assert states == {"vm-1": siblings.State.LEFT, "vm-2": siblings.State.READY}
+
+
+def test_lost_entry_vm_expires_at_the_receiver():
+    view = make("c1:1")
+    view.apply_update("c1:1", report("vm-1", siblings.State.LOST, 1.0), 1.0)
+    assert "vm-1" in view.entry_vms(1.0 + siblings.LOST_RETENTION_S)
+    assert view.entry_vms(1.1 + siblings.LOST_RETENTION_S) == {}
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -26,7 +26,9 @@
         sent_s: Time of the last update.
         name: Name of the entry VM.
         zone: Availability zone of the entry VM.
-        siblings_revision: Revision of the zone's entry VMs that was last sent.
+        state: Rotation state that the entry VM last sent.
+        siblings_revision: Revision of the zone's entry VMs that was last sent; 0 before the first.
+        controls: Names of control VMs that were last sent.
     """
 
     roster_revision: int = 0
@@ -34,7 +36,17 @@
     sent_s: float = -1e9
     name: str = ""
     zone: str = ""
+    state: siblings.State = siblings.State.STARTING
     siblings_revision: int = 0
+    controls: tuple[str, ...] = ()
+
+    @property
+    def follows_siblings(self) -> bool:
+        """Whether it is sent the states of its zone's entry VMs; only one that has to stop is.
+
+        If all were, each change in a zone would cost as many messages as the zone has entry VMs.
+        """
+        return self.state is siblings.State.STOPPING
 
 
 class Coordinator:
@@ -206,6 +218,7 @@
             state: The state that it sent, or ``LOST`` when its connection was lost.
             now_s: Current time.
         """
+        subscriber.state = state
         self.entry_vms.record(subscriber.zone, subscriber.name, state, now_s)
 
     def controls(self) -> tuple[str, ...]:
@@ -220,8 +233,11 @@
             now_s: Current time.
         """
         rules = self.replica.rules
+        controls = self.controls()
         siblings_revision = self.entry_vms.revision(subscriber.zone)
-        has_new_siblings = subscriber.siblings_revision != siblings_revision
+        has_new_siblings = (
+            subscriber.follows_siblings and subscriber.siblings_revision != siblings_revision
+        )
         has_changed = (
             subscriber.roster_revision < self.targets.revision
             or subscriber.rule_number < rules.number
@@ -234,15 +250,20 @@
         subscriber.roster_revision = self.targets.revision
         subscriber.rule_number = max(subscriber.rule_number, rules.number)
         subscriber.sent_s = now_s
-        subscriber.siblings_revision = siblings_revision
+        has_new_controls = subscriber.controls != controls
+        subscriber.controls = controls
+        entry_vms = None
+        if has_new_siblings:
+            entry_vms = self.entry_vms.changed_since(subscriber.zone, subscriber.siblings_revision)
+            subscriber.siblings_revision = siblings_revision
         return feed.Update(
             observations=feed.to_observations(entries, now_s),
-            controls=self.controls(),
+            controls=controls if has_new_controls else (),
             number=rules.number,
             content=content,
             is_current=self.replica.is_current(now_s),
             is_complete=self.is_complete(now_s),
-            entry_vms=self.entry_vms.in_zone(subscriber.zone) if has_new_siblings else None,
+            entry_vms=entry_vms,
         )
 
     def tick(self, now_s: float) -> None:
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -400,10 +400,15 @@
         self._coordinator.notices.clear()
 
     def _feed_subscribers(self, now_s: float) -> None:
+        # Most subscribers are sent the same.
+        encoded: dict[feed.Update, bytes] = {}
         for link, subscriber in list(self._subscribers.items()):
             update = self._coordinator.update_for(subscriber, now_s)
-            if update is not None:
-                link.send(links.Kind.UPDATE, feed.encode(update, now_s))
+            if update is None:
+                continue
+            if update not in encoded:
+                encoded[update] = feed.encode(update, now_s)
+            link.send(links.Kind.UPDATE, encoded[update])
 
     async def _tick_forever(self) -> None:
         while True:
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -31,6 +31,8 @@
 # The fabric asks twice a second and takes a VM out after two misses; packets come until then.
 LEAVE_LEAST_S = 1.6
 LEAVE_QUIET_S = 0.5
+# How often a VM that has to stop looks for the first states of its siblings.
+STATES_POLL_S = 0.01
 # Share of the time that a planned stop is given; the rest is for a slow processor.
 STOP_SHARE = 0.8
 
@@ -400,10 +402,13 @@
     async def _wait_for_turn(self, started_s: float, until_s: float) -> None:
         """Waits while too few of the zone's entry VMs would stay in rotation."""
         self._enter(siblings.State.STOPPING)
+        known = {}
         while (now_s := lean.now_s()) < until_s:
-            known = self.view.entry_vms(now_s)
-            if siblings.may_leave(self.config.name, started_s, known, now_s):
+            reported = self.view.entry_vms(now_s)
+            known = reported or {}
+            is_known = reported is not None or now_s - started_s > siblings.STATES_TIMEOUT_S
+            if is_known and siblings.may_leave(self.config.name, started_s, known, now_s):
                 return
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if is_known else STATES_POLL_S)
         detail = ", ".join(f"{s.name} {s.state.name.lower()}" for s in known.values())
         self._output.write(events.STOP_OUT_OF_TURN, "stop", self.config.name, detail)
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -35,12 +35,12 @@
 
     Attributes:
         observations: Targets that changed; all targets at the start of a connection.
-        controls: Names of the control VMs, HOST:PORT.
+        controls: Names of the control VMs, HOST:PORT; empty if they have not changed.
         number: Number of the rule file that the sender holds.
         content: The rule file's bytes; None if the receiver holds the file or needs none.
         is_current: Whether the sender leads with a majority or has recently heard from a leader.
         is_complete: Whether the sender's roster is complete.
-        entry_vms: Entry VMs of the receiver's zone; None if they have not changed.
+        entry_vms: Entry VMs of the receiver's zone whose state has changed; None for none.
     """
 
     observations: tuple[Observation, ...] = ()
--- a/zinniaspoke/siblings.py
+++ b/zinniaspoke/siblings.py
@@ -11,6 +11,8 @@
 
 # The fabric checks readiness twice a second; a VM that becomes ready is in rotation after that.
 ROTATION_DELAY_S = 0.6
+# A VM that has to stop leaves without the states of others if none arrive in this time.
+STATES_TIMEOUT_S = 0.5
 # A VM whose connection was lost counts as removed if it has not returned after this time.
 LOST_RETENTION_S = 10.0
 
@@ -42,11 +44,21 @@
     state: State
     since_s: float
 
+    def has_expired(self, now_s: float) -> bool:
+        """Whether it was lost so long ago that it counts as removed.
+
+        Args:
+            now_s: Current time.
+        """
+        return self.state is State.LOST and now_s - self.since_s > LOST_RETENTION_S
+
 
 @attrs.define(kw_only=True, slots=True)
 class _Zone:
     revision: int = 0
     members: dict[str, Sibling] = attrs.field(factory=dict)
+    # The revision at each member's last change.
+    changed_at: dict[str, int] = attrs.field(factory=dict)
 
 
 class Directory:
@@ -70,6 +82,7 @@
         if before is None or before.state is not state:
             known.members[name] = Sibling(name=name, state=state, since_s=now_s)
             known.revision += 1
+            known.changed_at[name] = known.revision
 
     def revision(self, zone: str) -> int:
         """Returns a number that increases with each change in a zone.
@@ -80,26 +93,28 @@
         known = self._zones.get(zone)
         return known.revision if known is not None else 0
 
-    def in_zone(self, zone: str) -> tuple[Sibling, ...]:
-        """Returns the entry VMs of a zone.
+    def changed_since(self, zone: str, revision: int) -> tuple[Sibling, ...]:
+        """Returns the entry VMs of a zone whose state has changed.
 
         Args:
             zone: The availability zone.
+            revision: The zone's revision that the receiver knows; 0 for all entry VMs.
         """
         known = self._zones.get(zone)
-        return tuple(known.members.values()) if known is not None else ()
+        if known is None:
+            return ()
+        return tuple(s for s in known.members.values() if known.changed_at[s.name] > revision)
 
     def tick(self, now_s: float) -> None:
-        """Removes VMs that have been lost for longer than ``LOST_RETENTION_S``.
+        """Removes VMs that have been lost for too long; receivers do the same.
 
         Args:
             now_s: Current time.
         """
         for zone in self._zones.values():
             for name, sibling in list(zone.members.items()):
-                if sibling.state is State.LOST and now_s - sibling.since_s > LOST_RETENTION_S:
-                    del zone.members[name]
-                    zone.revision += 1
+                if sibling.has_expired(now_s):
+                    del zone.members[name], zone.changed_at[name]
 
 
 def merge(reports: list[tuple[Sibling, ...]]) -> dict[str, Sibling]:
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -35,7 +35,7 @@
         is_complete: Whether it knows all targets.
         silent: Targets whose announcements it no longer receives.
         known: Targets that it has reported.
-        entry_vms: Entry VMs of this VM's zone that it reported.
+        entry_vms: Entry VMs of this VM's zone that it reported, by name; None before it did.
     """
 
     last_update_s: float
@@ -44,7 +44,7 @@
     is_complete: bool = False
     silent: set[str] = attrs.field(factory=set)
     known: set[str] = attrs.field(factory=set)
-    entry_vms: tuple[siblings.Sibling, ...] = ()
+    entry_vms: dict[str, siblings.Sibling] | None = None
 
 
 class Subscription:
@@ -177,7 +177,8 @@
             self._is_confirmed |= self.rules.number >= update.number > 0
         state.is_complete = update.is_complete
         if update.entry_vms is not None:
-            state.entry_vms = update.entry_vms
+            state.entry_vms = state.entry_vms or {}
+            state.entry_vms.update((sibling.name, sibling) for sibling in update.entry_vms)
         if update.is_complete and not self._has_target_table:
             self._has_target_table = True
             detail = f"{len(self.targets)} targets"
@@ -223,13 +224,20 @@
         """
         return identity not in self._silent_targets
 
-    def entry_vms(self, now_s: float) -> dict[str, siblings.Sibling]:
-        """Returns the entry VMs of this VM's zone, by name.
+    def entry_vms(self, now_s: float) -> dict[str, siblings.Sibling] | None:
+        """Returns the entry VMs of this VM's zone, by name; None before any were reported.
+
+        They are reported only while this VM has to stop.
 
         Args:
             now_s: Current time.
         """
-        return siblings.merge([state.entry_vms for state in self._live_feeds(now_s)])
+        reports = [
+            tuple(s for s in state.entry_vms.values() if not s.has_expired(now_s))
+            for state in self._live_feeds(now_s)
+            if state.entry_vms is not None
+        ]
+        return siblings.merge(reports) if reports else None
 
     def is_fresh(self, now_s: float) -> bool:
         """Whether new flows may be placed.
