Keep answers in order, bound the digests, split the flow record off steering

Cause: a request that arrived on a connection whose earlier request was still open was answered first, so the late answer stood where the next one was expected. A planned stop of an entry VM did not wait for openings that wait for a target, and one of a control VM stopped listening before it gave leadership away. Flow and Stage move to flowstate.py, without a change of behaviour.

--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,9 +2,11 @@
 
 import attrs
 import pytest
+import test_steering
 from hypothesis import given
 from hypothesis import strategies as st
 from test_roster import target
+from test_steering import Vm, flow
 
 from zinniaspoke import coordinator, errors, feed, roster, siblings
 
@@ -199,3 +201,26 @@
     assert len(feed.encode(heartbeat, 1.0)) <= HEARTBEAT_BYTES
     vm.seeds = ("a:1", "d:1")
     assert vm.update_for(own, 2.0).controls == ("a:1", "d:1")
+
+
+def test_target_that_has_left_is_not_used_again_after_a_control_vm_restarts():
+    """Its record comes back from another control VM, and a delayed announcement changes nothing."""
+    other = make("b:1")
+    other.announce(target(sequence=5, state=DRAINING), 0.0)
+    other.deregister("i-1", 1.0)
+    restarted = make("a:1", now_s=2.0)
+    restarted.receive_gossip(round_trip(other.full_update(2.0), 2.0), 2.0)
+    for step in range(20):
+        restarted.announce(target(sequence=4), 2.0 + step)
+    assert restarted.targets.find("i-1").target.state is ENDED
+
+
+def test_target_that_has_left_is_not_used_again_by_an_entry_vm_that_knew_it():
+    """All control VMs have restarted and one of them takes a delayed announcement."""
+    known = test_steering.target
+    vm = Vm(known(1), known(2), known(3, state=ENDED, sequence=9))
+    restarted = make("a:1", now_s=2.0)
+    restarted.announce(known(3, sequence=4), 2.0)
+    vm.view.apply_update("c1:1", restarted.full_update(2.0), vm.now_s)
+    assert vm.view.targets.find("i-3").target.state is ENDED
+    assert all(vm.packet(flow(n)).identity != "i-3" for n in range(30))
--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -11,7 +11,7 @@
 from test_platform import BEAT, document, route
 
 from zinniaspoke import consensus, errors, events, lean_settings, ports, siblings, storage
-from zinniaspoke.adapters import page
+from zinniaspoke.adapters import links, page
 from zinniaspoke.daemons import lean, lean_control, lean_entry
 
 LEADER = consensus.Role.LEADER
@@ -374,6 +374,94 @@
     asyncio.run(play())
 
 
+def test_answers_keep_the_order_of_the_requests_on_a_connection():
+    """A late answer to the first request must not be taken for that to the second."""
+
+    async def play():
+        release = asyncio.Event()
+
+        async def answer_late(request):
+            await release.wait()
+            return page.Response(status=200, body=b"first")
+
+        def handle(request):
+            if request.path == "/first":
+                return answer_late(request)
+            return page.Response(status=200, body=b"second")
+
+        port = free_port("127.0.0.1")
+        server = await page.listen(handle, "127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /first HTTP/1.1\r\nHost: x\r\n\r\n")
+        writer.write(b"GET /second HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        await asyncio.sleep(0.1)
+        release.set()
+        answers = await reader.read()
+        assert answers.index(b"first") < answers.index(b"second")
+        assert answers.count(b"HTTP/1.1 200") == 2
+        writer.close()
+        server.close()
+
+    asyncio.run(play())
+
+
+def test_call_that_arrives_during_a_planned_stop_is_answered(site):
+    """A stop under load: callers keep sending on the connections that they have."""
+
+    async def play():
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        host = next(h for h, c in site.controls.items() if c.replica.role is LEADER)
+        reader, writer = await asyncio.open_connection(host, site.call_port)
+        stopping = asyncio.ensure_future(site.controls.pop(host).leave())
+        statuses = []
+        while not stopping.done() and len(statuses) < 20:
+            writer.write(b"GET /api/config HTTP/1.1\r\nHost: x\r\n\r\n")
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            await reader.readexactly(length)
+            statuses.append(int(head.split()[1]))
+        assert len(statuses) >= 3
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) >= len(statuses) - 2
+        await stopping
+        writer.close()
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_frame_that_breaks_off_is_not_handed_over():
+    """A connection that is lost halfway through an update."""
+
+    class Receiver(links.Owner):
+        def __init__(self):
+            self.frames = []
+            self.closed = asyncio.Event()
+
+        def link_opened(self, link):
+            pass
+
+        def frame_received(self, link, kind, payload):
+            self.frames.append(payload)
+
+        def link_closed(self, link):
+            self.closed.set()
+
+    async def play():
+        receiver, port = Receiver(), free_port("127.0.0.1")
+        server = await links.listen(receiver, "127.0.0.1", port, lean.now_s)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        frame = (100).to_bytes(4, "big") + bytes((links.Kind.UPDATE,)) + bytes(100)
+        writer.write(frame + frame[:60])
+        writer.close()
+        await asyncio.wait_for(receiver.closed.wait(), 5.0)
+        assert receiver.frames == [bytes(100)]
+        server.close()
+
+    asyncio.run(play())
+
+
 def test_handler_that_fails_is_answered_503_and_not_400():
     async def play():
         told = []
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -183,6 +183,13 @@
     assert rule.idempotent is is_idempotent
 
 
+def test_weights_that_are_fractions_keep_their_proportion():
+    split = [{"service": "ledger", "weight": 0.75}, {"service": "archive", "weight": 0.25}]
+    file = manifest.compile_rules(document(route(service=..., weighted_services=split)))
+    (rule,) = rules.parse(file.number, file.content).rules.values()
+    assert rule.split == (("ledger", 750), ("archive", 250))
+
+
 NO_WEIGHT = [{"service": "ledger", "weight": 0}]
 INVALID = {
     "cut short": document(route())[:-9],
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from zinniaspoke import choosing, feed, hashing, packets, roster, steering, subscription
+from zinniaspoke import choosing, feed, flowstate, hashing, packets, roster, steering, subscription
 
 RULES = b"10.9.0.1:443 tcp ledger # t: t\n10.9.0.1:444 tcp archive # t: t"
 LEDGER = bytes((10, 9, 0, 1)) + (443).to_bytes(2, "big")
@@ -298,7 +298,7 @@
             vm.packet(flow(number), steering.Kind.DATA, chosen.token)
             served += number >= 100
         late = number - 4
-        if late >= 0 and vm.core._flows[flow(late)].stage is steering.Stage.OPENING:
+        if late >= 0 and vm.core._flows[flow(late)].stage is flowstate.Stage.OPENING:
             vm.packet(flow(late))
     assert served >= 70
 
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -172,6 +172,18 @@
     assert (history.number, history.current.content) == (5, b"kept")
 
 
+def test_digests_stay_bounded_when_numbers_have_gaps():
+    """Snapshots carry them; a deployment sees tens of thousands of changes a day."""
+    history = submissions.RuleHistory(numbering="highest")
+    file = replicas.control.control_pb2.RuleFile
+    for step in range(1, 3 * submissions.DIGEST_COUNT):
+        history.apply(file(number=step * 7, content=b"%d" % step))
+    snapshot = replicas.control.control_pb2.Snapshot()
+    history.save(snapshot)
+    assert len(snapshot.digests) == submissions.DIGEST_COUNT
+    assert history.digest_of(history.number) is not None
+
+
 class MembershipMachine(stateful.RuleBasedStateMachine):
     """VMs crash, lose disks one at a time, and are replaced by new VMs."""
 
--- a/zinniaspoke/adapters/page.py
+++ b/zinniaspoke/adapters/page.py
@@ -1,6 +1,7 @@
 """A small HTTP/1.1 port on httptools, for processes that cannot carry a web framework."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -57,6 +58,19 @@
 Handler = Callable[[Request], Awaitable[Response] | Response]
 
 
+@attrs.define(kw_only=True, slots=True, eq=False)
+class _Slot:
+    """The place of a response in the order of a connection's requests.
+
+    Attributes:
+        response: The response, or None while it is awaited.
+        is_kept: Whether the connection stays open after it.
+    """
+
+    response: Response | None = None
+    is_kept: bool = False
+
+
 class _Connection(asyncio.Protocol):
     def __init__(self, *, handler: Handler) -> None:
         self._handler = handler
@@ -66,6 +80,8 @@
         self._body: list[bytes] = []
         self._size_bytes = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        # Requests may arrive before earlier ones are answered; responses keep their order.
+        self._slots = collections.deque[_Slot]()
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -108,30 +124,55 @@
             peer=f"{peer[0]}:{peer[1]}",
         )
         self._url, self._body, self._size_bytes = b"", [], 0
-        is_kept = self._parser.should_keep_alive()
-        answer = self._handler(request)
+        slot = _Slot(is_kept=self._parser.should_keep_alive())
+        self._slots.append(slot)
+        try:
+            answer = self._handler(request)
+        except Exception:
+            self._slots.remove(slot)
+            raise
         if isinstance(answer, Response):
-            self._reply(answer, is_kept)
+            self._fill(slot, answer)
             return
-        task = asyncio.ensure_future(self._reply_later(answer, is_kept))
+        task = asyncio.ensure_future(self._reply_later(answer, slot))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _reply_later(self, answer: Awaitable[Response], is_kept: bool) -> None:
+    async def _reply_later(self, answer: Awaitable[Response], slot: _Slot) -> None:
         try:
             response = await answer
         except Exception as error:
-            self._fail(error)
+            slot.is_kept = False
+            self._report(error)
+            self._fill(slot, Response(status=503))
             raise
-        self._reply(response, is_kept)
+        self._fill(slot, response)
 
     def _fail(self, error: Exception) -> None:
-        """Tells of a fault in a handler; the caller learns that nothing certain can be said."""
+        """Reports a fault in a handler; the caller learns that nothing certain can be said."""
+        self._report(error)
+        self._reply(Response(status=503), is_kept=False)
+
+    @staticmethod
+    def _report(error: Exception) -> None:
         context = {"message": "handler of a request failed", "exception": error}
         asyncio.get_running_loop().call_exception_handler(context)
-        self._reply(Response(status=503), is_kept=False)
 
     def _reply(self, response: Response, is_kept: bool) -> None:
+        self._slots.append(_Slot(response=response, is_kept=is_kept))
+        self._write_ready()
+
+    def _fill(self, slot: _Slot, response: Response) -> None:
+        slot.response = response
+        self._write_ready()
+
+    def _write_ready(self) -> None:
+        """Writes the responses that no earlier request's response is awaited for."""
+        while self._slots and self._slots[0].response is not None:
+            slot = self._slots.popleft()
+            self._write(slot.response, slot.is_kept)
+
+    def _write(self, response: Response, is_kept: bool) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         head = (
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -30,7 +30,10 @@
 # Callers turn to another control VM after a second without an answer.
 CALL_LIMIT_S = 0.85
 CALL_RETRY_S = 0.04
-TRANSFER_LIMIT_S = 1.0
+# A planned stop of a control VM takes this long at most.
+STOP_LIMIT_S = 2.0
+# A stop ends once no call was open or arrived for this long: a round trip between zones and more.
+STOP_QUIET_S = 0.1
 # Connections to control VMs that left the set are kept this long.
 DIAL_KEEP_S = 10.0
 _FINAL = (control_pb2.SUBMIT_OUTCOME_YES, control_pb2.SUBMIT_OUTCOME_NO)
@@ -84,6 +87,7 @@
         self._servers: list[asyncio.AbstractServer] = []
         self.task: asyncio.Task[None] | None = None
         self._open_call_count = 0
+        self._called_s = 0.0
 
     async def start(self, handler: page.Handler) -> None:
         """Reads back the state, opens the ports and takes part.
@@ -258,7 +262,8 @@
             target: The target.
         """
         self.counters.events["announcements"] += 1
-        self._coordinator.announce(target, lean.now_s())
+        self._called_s = lean.now_s()
+        self._coordinator.announce(target, self._called_s)
         self._flush()
 
     def end(self, identity: str) -> bool:
@@ -270,7 +275,8 @@
         Returns:
             Whether it may be acknowledged.
         """
-        is_taken = self._coordinator.deregister(identity, lean.now_s())
+        self._called_s = lean.now_s()
+        is_taken = self._coordinator.deregister(identity, self._called_s)
         self._flush()
         return is_taken
 
@@ -424,15 +430,18 @@
             self._flush()
 
     async def leave(self) -> None:
-        """Takes no more calls, answers those that are open, gives leadership away, then ends."""
-        for server in self._servers:
-            server.close()
-        deadline_s = lean.now_s() + TRANSFER_LIMIT_S
-        while self._open_call_count and lean.now_s() < deadline_s:
-            await asyncio.sleep(TICK_S)
+        """Gives leadership away, answers the calls that are open or still arrive, then ends."""
+        deadline_s = lean.now_s() + STOP_LIMIT_S
         self._replica.transfer_leadership()
         while self.replica.role is consensus.Role.LEADER and lean.now_s() < deadline_s:
             await asyncio.sleep(TICK_S)
+        for server in self._servers:
+            server.close()
+        quiet_s = lean.now_s()
+        while (now_s := lean.now_s()) < deadline_s and now_s - quiet_s < STOP_QUIET_S:
+            if self._open_call_count or self._called_s > quiet_s:
+                quiet_s = now_s
+            await asyncio.sleep(TICK_S)
         self._replica.stop()
         self.task.cancel()
         self._output.write(events.PROCESS_STOPPED, "stop", self.config.name, "")
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -392,7 +392,8 @@
         self._enter(siblings.State.LEFT)
         left_s = lean.now_s()
         while (now_s := lean.now_s()) - started_s < most_s:
-            is_quiet = now_s - self._packet_s > LEAVE_QUIET_S and not self._pacer
+            has_waiting = self._pacer or self.steering.queued_count
+            is_quiet = now_s - self._packet_s > LEAVE_QUIET_S and not has_waiting
             if now_s - left_s >= least_s and is_quiet:
                 break
             await asyncio.sleep(TICK_S)
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -16,6 +16,7 @@
     choosing,
     counters,
     errors,
+    flowstate,
     hashing,
     packets,
     roster,
@@ -24,8 +25,6 @@
     zones,
 )
 
-# Callers retransmit an opening after 0.2 s; a copy that arrives sooner was delayed in transit.
-MIN_RETRANSMIT_S = 0.15
 # Callers send an opening at these times after the first one, and time out at CONNECT_TIMEOUT_S.
 RETRANSMIT_TIMES_S = (0.0, 0.2, 0.6)
 CONNECT_TIMEOUT_S = 1.4
@@ -100,65 +99,6 @@
     datagram: bytes = b""
 
 
-class Stage(enum.Enum):
-    """State of a flow's handshake as observed by this VM."""
-
-    OPENING = "opening"
-    OPEN = "open"
-    CLOSED = "closed"
-
-
-@attrs.define(kw_only=True, slots=True)
-class Flow:
-    """Soft state of a flow; the routing token alone suffices once it is lost.
-
-    Attributes:
-        target: The target that receives its packets.
-        load: The target's load, which includes this flow while ``is_counted``.
-        stage: State of the handshake.
-        opening_sent_s: When its opening was last forwarded.
-        counted_since_s: When it last began to count as load.
-        last_packet_s: When its last packet arrived.
-        acknowledged: The acknowledgment number of its last packet.
-        sequence: Position of its last payload; -1 before the first.
-        payload_sent_s: When that payload was first forwarded.
-        retransmit_s: When it was last retransmitted.
-        retransmit_count: How often it was retransmitted without an answer.
-        is_counted: Whether it counts as load: the handshake or a request is in progress.
-    """
-
-    target: roster.Target
-    load: choosing.Load
-    stage: Stage
-    opening_sent_s: float
-    counted_since_s: float
-    last_packet_s: float
-    acknowledged: int = 0
-    sequence: int = -1
-    payload_sent_s: float = 0.0
-    retransmit_s: float = 0.0
-    retransmit_count: int = 0
-    is_counted: bool = True
-
-    def record_payload(self, sequence: int, has_response: bool) -> None:
-        """Counts a payload that is forwarded: a new one, or a retransmission.
-
-        Copies that arrive together, after a suspension of this VM, count as one.
-
-        Args:
-            sequence: Position of the payload.
-            has_response: Whether the target has sent bytes since the last packet.
-        """
-        now_s = self.last_packet_s
-        if sequence != self.sequence or has_response:
-            self.sequence = sequence
-            self.payload_sent_s = self.retransmit_s = now_s
-            self.retransmit_count = 0
-        elif now_s - self.retransmit_s >= MIN_RETRANSMIT_S:
-            self.retransmit_s = now_s
-            self.retransmit_count += 1
-
-
 class Steering:
     """Chooses the target of each packet; does no I/O.
 
@@ -185,7 +125,7 @@
         self._choose = choosing.create(policy, rng)
         self.counters = counters.Counters()
         self.newly_suspected: list[roster.Target] = []
-        self._flows: dict[bytes, Flow] = {}
+        self._flows: dict[bytes, flowstate.Flow] = {}
         self._loads: dict[int, choosing.Load] = {}
         self._zones = collections.defaultdict[str, zones.ZoneHealth](zones.ZoneHealth)
         self._target_by_token: dict[int, roster.Target] = {}
@@ -193,7 +133,7 @@
         self._backlogs = collections.defaultdict(backlog.Backlog)
         self._rejected: list[tuple[Packet, errors.Nothing]] = []
         # Openings that count as load, with the time of forwarding, oldest first.
-        self._sent_openings = collections.deque[tuple[float, Flow]]()
+        self._sent_openings = collections.deque[tuple[float, flowstate.Flow]]()
         self._revision = -1
         self._swept_s = 0.0
         self._link_busy_s = -1e9
@@ -201,6 +141,11 @@
     def __len__(self) -> int:
         return len(self._flows)
 
+    @property
+    def queued_count(self) -> int:
+        """Number of openings that wait for a target with capacity."""
+        return sum(len(queue) for queue in self._backlogs.values())
+
     def explain(self, flow_key: bytes) -> str:
         """Describes a flow's target and its load, for the log.
 
@@ -258,7 +203,7 @@
         if flow is None:
             return self._steer_unrecorded(packet, now_s)
         flow.last_packet_s = now_s
-        if flow.stage is Stage.OPENING:
+        if flow.stage is flowstate.Stage.OPENING:
             self._complete_handshake(flow, packet, now_s)
         else:
             self._update_load(flow, packet)
@@ -276,10 +221,10 @@
         if load is None:
             return DROPPED_UNKNOWN_TOKEN
         if packet.kind is Kind.DATA and packet.has_payload:
-            flow = self._flows[packet.flow] = Flow(
+            flow = self._flows[packet.flow] = flowstate.Flow(
                 target=load.target,
                 load=load,
-                stage=Stage.OPEN,
+                stage=flowstate.Stage.OPEN,
                 opening_sent_s=now_s,
                 counted_since_s=now_s,
                 last_packet_s=now_s,
@@ -299,7 +244,7 @@
         """
         self._link_busy_s = now_s
 
-    def _is_unresponsive(self, flow: Flow, packet: Packet, now_s: float) -> bool:
+    def _is_unresponsive(self, flow: flowstate.Flow, packet: Packet, now_s: float) -> bool:
         """Whether a request was retransmitted so often that its target must be unreachable.
 
         Only flows of rules whose requests callers may repeat are reset; the others would gain
@@ -318,18 +263,18 @@
         rule = self._rule_of(packet)
         return not isinstance(rule, errors.Nothing) and rule.idempotent
 
-    def _reset(self, flow: Flow, now_s: float) -> errors.Nothing:
+    def _reset(self, flow: flowstate.Flow, now_s: float) -> errors.Nothing:
         if flow.load.record_failure(flow.payload_sent_s, now_s):
             self.newly_suspected.append(flow.target)
-        flow.stage = Stage.CLOSED
-        self._uncount_as_load(flow)
+        flow.stage = flowstate.Stage.CLOSED
+        flow.uncount_as_load()
         return RESET_UNRESPONSIVE
 
     # Openings
 
     def _steer_opening(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         flow = self._flows.get(packet.flow)
-        if flow is not None and flow.stage is not Stage.CLOSED:
+        if flow is not None and flow.stage is not flowstate.Stage.CLOSED:
             return self._steer_retransmission(flow, packet, now_s)
         if not self._view.is_ready(now_s):
             # Dropped, not refused: the rules may be known by the caller's next retransmission.
@@ -358,10 +303,10 @@
 
     def _admit(self, packet: Packet, load: choosing.Load, now_s: float) -> roster.Target:
         load.in_flight_count += 1
-        flow = self._flows[packet.flow] = Flow(
+        flow = self._flows[packet.flow] = flowstate.Flow(
             target=load.target,
             load=load,
-            stage=Stage.OPENING,
+            stage=flowstate.Stage.OPENING,
             opening_sent_s=now_s,
             counted_since_s=now_s,
             last_packet_s=now_s,
@@ -442,13 +387,18 @@
                 self.counters.histograms["opening_wait"].note(now_s - entry.queued_s)
         return released
 
-    def _steer_retransmission(self, flow: Flow, packet: Packet, now_s: float) -> roster.Target:
+    def _steer_retransmission(
+        self, flow: flowstate.Flow, packet: Packet, now_s: float
+    ) -> roster.Target:
         """Moves a retransmitted opening to another target, unless the flow is open.
 
-        A copy that arrives within ``MIN_RETRANSMIT_S`` was delayed in transit and keeps the target.
+        A copy that arrives too soon was delayed in transit and keeps the target.
         """
         flow.last_packet_s = now_s
-        if flow.stage is Stage.OPEN or now_s - flow.opening_sent_s < MIN_RETRANSMIT_S:
+        if (
+            flow.stage is flowstate.Stage.OPEN
+            or now_s - flow.opening_sent_s < flowstate.MIN_RETRANSMIT_S
+        ):
             return flow.target
         # A target that answered another opening meanwhile is reachable; this opening was lost.
         is_unresponsive = flow.load.answered_s < flow.opening_sent_s
@@ -456,29 +406,22 @@
             self.newly_suspected.append(flow.target)
         flow.opening_sent_s = now_s
         self._sent_openings.append((now_s, flow))
-        self._count_as_load(flow)
+        flow.count_as_load()
         other = self._place(flow.target.service, now_s, avoid=flow.load)
         if not isinstance(other, errors.Nothing):
-            self._move(flow, other)
+            flow.move(other)
             self.counters.events["openings_moved"] += 1
         return flow.target
 
-    def _move(self, flow: Flow, load: choosing.Load) -> None:
-        if flow.is_counted:
-            flow.load.in_flight_count -= 1
-            load.in_flight_count += 1
-        flow.load = load
-        flow.target = load.target
-
-    def _complete_handshake(self, flow: Flow, packet: Packet, now_s: float) -> None:
+    def _complete_handshake(self, flow: flowstate.Flow, packet: Packet, now_s: float) -> None:
         """Opens a flow: its first packet after the opening carries the answering target's token."""
         answered = self._loads.get(packet.token)
         if answered is None:
             return
         if answered is not flow.load:
-            self._move(flow, answered)
-        flow.stage = Stage.OPEN
-        self._count_as_load(flow)
+            flow.move(answered)
+        flow.stage = flowstate.Stage.OPEN
+        flow.count_as_load()
         flow.acknowledged = packet.acknowledged
         if packet.has_payload:
             flow.record_payload(packet.sequence, has_response=True)
@@ -486,7 +429,7 @@
         self.counters.histograms["handshake"].note(now_s - flow.opening_sent_s)
         self.counters.events["flows_opened"] += 1
 
-    def _update_load(self, flow: Flow, packet: Packet) -> None:
+    def _update_load(self, flow: flowstate.Flow, packet: Packet) -> None:
         """Counts a request as load from its first bytes until the caller acknowledges a response.
 
         The rest of the response is sent by the target's kernel and occupies none of its slots.
@@ -497,46 +440,33 @@
             flow.load.record_bytes(flow.last_packet_s)
         if packet.has_payload:
             flow.record_payload(packet.sequence, has_response)
-            self._count_as_load(flow)
+            flow.count_as_load()
         elif has_response:
             self._finish_request(flow)
 
-    def _finish_request(self, flow: Flow) -> None:
+    def _finish_request(self, flow: flowstate.Flow) -> None:
         if flow.is_counted:
             duration_s = flow.last_packet_s - flow.counted_since_s
             self._backlogs[flow.target.service].record_duration(duration_s)
-        self._uncount_as_load(flow)
+        flow.uncount_as_load()
 
-    def _close(self, flow: Flow) -> None:
-        if flow.stage is Stage.OPEN:
+    def _close(self, flow: flowstate.Flow) -> None:
+        if flow.stage is flowstate.Stage.OPEN:
             self._finish_request(flow)
-        flow.stage = Stage.CLOSED
-        self._uncount_as_load(flow)
-
-    @staticmethod
-    def _count_as_load(flow: Flow) -> None:
-        if not flow.is_counted and flow.stage is not Stage.CLOSED:
-            flow.is_counted = True
-            flow.counted_since_s = flow.last_packet_s
-            flow.load.in_flight_count += 1
-
-    @staticmethod
-    def _uncount_as_load(flow: Flow) -> None:
-        if flow.is_counted:
-            flow.is_counted = False
-            flow.load.in_flight_count -= 1
+        flow.stage = flowstate.Stage.CLOSED
+        flow.uncount_as_load()
 
     def _uncount_unanswered(self, now_s: float) -> None:
         """Stops counting openings as load that got no answer within ``OPENING_LOAD_S``."""
         while self._sent_openings and now_s - self._sent_openings[0][0] > OPENING_LOAD_S:
             opening_sent_s, flow = self._sent_openings.popleft()
             if (
-                flow.stage is Stage.OPENING
+                flow.stage is flowstate.Stage.OPENING
                 and flow.opening_sent_s == opening_sent_s
                 and flow.is_counted
             ):
                 self._backlogs[flow.target.service].record_duration(now_s - opening_sent_s)
-                self._uncount_as_load(flow)
+                flow.uncount_as_load()
 
     # Periodic work
 
@@ -554,7 +484,11 @@
         for key, flow in list(self._flows.items()):
             idle_s = now_s - flow.last_packet_s
             if idle_s > IDLE_LOAD_TIMEOUT_S:
-                self._uncount_as_load(flow)
-            timeout_s = CLOSED_RECORD_TIMEOUT_S if flow.stage is Stage.CLOSED else RECORD_TIMEOUT_S
+                flow.uncount_as_load()
+            timeout_s = (
+                CLOSED_RECORD_TIMEOUT_S
+                if flow.stage is flowstate.Stage.CLOSED
+                else RECORD_TIMEOUT_S
+            )
             if idle_s > timeout_s:
                 del self._flows[key]
--- a/zinniaspoke/submissions.py
+++ b/zinniaspoke/submissions.py
@@ -155,7 +155,8 @@
         if decision.verdict is Verdict.ACCEPTED:
             self.current = file
             self._digests[file.number] = digest(file.content)
-            self._digests.pop(file.number - DIGEST_COUNT, None)
+            while len(self._digests) > DIGEST_COUNT:
+                del self._digests[min(self._digests)]
         return decision
 
     def save(self, snapshot: control_pb2.Snapshot) -> None:
