--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -10,7 +10,16 @@
 import pytest
 from test_platform import BEAT, document, route
 
-from zinniaspoke import consensus, errors, events, lean_settings, ports, siblings, storage
+from zinniaspoke import (
+    consensus,
+    errors,
+    events,
+    lean_settings,
+    pacing,
+    ports,
+    siblings,
+    storage,
+)
 from zinniaspoke.adapters import links, page
 from zinniaspoke.daemons import lean, lean_control, lean_entry
 
@@ -340,6 +349,12 @@
         numbers = [int.from_bytes(data[8:12], "big") // size for data in arrived]
         assert numbers == list(range(40))
         assert site.entry.counters.histograms["link_wait"].count > 30
+        assert events.LINK_OVERLOADED not in [e for e, *_ in site.notes.written]
+        site.entry.counters.drops[pacing.QUEUE_FULL] += 3
+        site.entry._tell()
+        site.entry._tell()
+        told = [detail for e, _, detail in site.notes.written if e is events.LINK_OVERLOADED]
+        assert told == ["3 packets, 0 bytes wait"]
         target.close()
         await site.stop()
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -91,10 +91,19 @@
     zone = zones.ZoneHealth()
     zone.record_answer(2.0)
     for token in range(1, 9):
-        assert not zone.record_failure(token, 1.9, 2.2)
+        zone.record_failure(token, 1.9, 2.2)
     assert not zone.is_suspected
 
 
+def test_changes_of_suspicion_are_reported_once_for_the_log():
+    vm = site()
+    play_openings(vm, lambda chosen, _: chosen.zone != "b", 2)
+    assert vm.core.take_zone_changes() == [("b", True)]
+    assert vm.core.take_zone_changes() == []
+    play_openings(vm, lambda chosen, _: True, 5, first=1000)
+    assert vm.core.take_zone_changes() == [("b", False)]
+
+
 @given(
     st.lists(
         st.tuples(
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -129,6 +129,8 @@
             else None
         )
         self._pacer_timer: asyncio.TimerHandle | None = None
+        # Packets that the pacer had dropped when that was last logged.
+        self._link_drops = 0
         self._diallers: dict[str, links.Dialler] = {}
         self._state = siblings.State.STARTING
         self._packet_s = 0.0
@@ -381,6 +383,17 @@
             detail = f"{target.service} at {target.address[0]}, openings go unanswered"
             self._output.write(events.TARGET_SUSPECTED, "open flow", target.identity, detail)
         self.steering.newly_suspected.clear()
+        for zone, is_suspected in self.steering.take_zone_changes():
+            event = events.ZONE_SUSPECTED if is_suspected else events.ZONE_ANSWERS
+            self._output.write(event, "open flow", zone, "as seen from this VM")
+        self._tell_link()
+
+    def _tell_link(self) -> None:
+        drops = sum(self.counters.drops[reason] for reason in pacing.DROP_REASONS)
+        if drops > self._link_drops:
+            detail = f"{drops - self._link_drops} packets, {self._pacer.queued_bytes} bytes wait"
+            self._output.write(events.LINK_OVERLOADED, "pace", self.config.name, detail)
+            self._link_drops = drops
 
     async def leave(self) -> None:
         """Asks for no more packets, carries what still comes, then ends."""
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -40,6 +40,10 @@
 TARGET_ENDED = _define(206, "target_ended", "A target said that it ends, or was replaced.")
 TARGET_SILENT = _define(207, "target_silent", "A target's announcements have stopped.")
 TARGET_SUSPECTED = _define(208, "target_suspected", "Openings at a target go unanswered.")
+ZONE_SUSPECTED = _define(
+    209, "zone_suspected", "No target of an availability zone answers; it gets no new flows."
+)
+ZONE_ANSWERS = _define(210, "zone_answers", "A target of a suspected availability zone answers.")
 RULES_IN_FORCE = _define(301, "rules_in_force", "A rule file is in force on this VM.")
 RULES_REFUSED = _define(302, "rules_refused", "A rule file that arrived was not taken.")
 RULES_UNREACHABLE = _define(303, "rules_unreachable", "No control replica answered a poll.")
@@ -66,6 +70,9 @@
 FLOW_OPENED = _define(404, "flow_opened", "An opening was sent on, with what decided it.")
 FLOW_DROPPED = _define(405, "flow_dropped", "A packet was dropped, since its target is not known.")
 FLOW_WAITS = _define(406, "flow_waits", "An opening waits until a target has a free place.")
+LINK_OVERLOADED = _define(
+    407, "link_overloaded", "Packets were dropped that this VM's link could not carry in time."
+)
 SETTINGS_CHANGED = _define(4, "settings_changed", "The settings file changed and was read again.")
 SETTINGS_REFUSED = _define(6, "settings_refused", "Changed settings cannot be used; the old stay.")
 METRICS_UNSERVED = _define(5, "metrics_unserved", "The metrics address could not be opened.")
--- a/zinniaspoke/pacing.py
+++ b/zinniaspoke/pacing.py
@@ -27,6 +27,10 @@
 WAIT_LIMIT_S = 1.6
 # Two seconds of a link of 2 Mbit/s.
 QUEUE_LIMIT_BYTES = 512 * 1024
+EXPIRED = "waited_too_long_for_link"
+QUEUE_FULL = "link_queue_full"
+# Drops that show that the link is too narrow.
+DROP_REASONS = (EXPIRED, QUEUE_FULL)
 
 
 @attrs.define(kw_only=True, slots=True, eq=False)
@@ -182,7 +186,7 @@
             datagram = self._pop_next()
             self.queued_bytes -= datagram.wire_bytes
             if datagram.has_expired(now_s):
-                self._counts.drops["waited_too_long_for_link"] += 1
+                self._counts.drops[EXPIRED] += 1
                 continue
             self._counts.histograms["link_wait"].note(now_s - datagram.first_queued_s)
             self._charge(datagram, now_s)
@@ -219,7 +223,7 @@
         else:
             dropped = self._openings.popleft()
         self.queued_bytes -= dropped.wire_bytes
-        self._counts.drops["link_queue_full"] += 1
+        self._counts.drops[QUEUE_FULL] += 1
 
     def cancel(self, flow: bytes) -> None:
         """Discards the waiting datagrams of a flow that its caller has reset.
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -236,6 +236,15 @@
 
     # Unresponsive targets
 
+    def take_zone_changes(self) -> list[tuple[str, bool]]:
+        """Returns the availability zones that became suspected, or answer again, since last asked.
+
+        Returns:
+            Names of zones, each with whether it is suspected.
+        """
+        changes = [(name, zone.take_change()) for name, zone in self._zones.items()]
+        return [(name, change) for name, change in changes if change is not None]
+
     def record_link_busy(self, now_s: float) -> None:
         """Records that packets wait for this VM's link, so that silence proves nothing.
 
--- a/zinniaspoke/zones.py
+++ b/zinniaspoke/zones.py
@@ -23,6 +23,7 @@
         failure_count: How often the zone became suspected since it last answered.
         suspected_until_s: Until then it gets no new flows while other zones have targets.
         probed_s: When it last got a new flow.
+        was_suspected: Whether it was suspected at the last ``take_change``.
     """
 
     answered_s: float = -1e9
@@ -30,6 +31,14 @@
     failure_count: int = 0
     suspected_until_s: float = -1e9
     probed_s: float = -1e9
+    was_suspected: bool = False
+
+    def take_change(self) -> bool | None:
+        """Returns whether the zone is suspected if that has changed since the last call."""
+        if self.is_suspected is self.was_suspected:
+            return None
+        self.was_suspected = self.is_suspected
+        return self.is_suspected
 
     def record_answer(self, now_s: float) -> None:
         """Clears the suspicion after a target of the zone has answered.
@@ -43,26 +52,22 @@
             self.failure_count = 0
             self.suspected_until_s = -1e9
 
-    def record_failure(self, token: int, sent_s: float, now_s: float) -> bool:
+    def record_failure(self, token: int, sent_s: float, now_s: float) -> None:
         """Counts a target of the zone that did not answer.
 
         Args:
             token: The target's routing token.
             sent_s: When the unanswered packet was sent; an answer since then disproves it.
             now_s: Current time.
-
-        Returns:
-            Whether the zone became suspected by this failure.
         """
         if sent_s <= self.answered_s:
-            return False
+            return
         self.failed_targets.add(token)
         if len(self.failed_targets) < FAILED_TARGET_THRESHOLD or now_s < self.suspected_until_s:
-            return False
+            return
         duration_s = min(SUSPICION_BASE_S * 2 ** min(self.failure_count, 4), SUSPICION_MAX_S)
         self.failure_count += 1
         self.suspected_until_s = now_s + duration_s
-        return self.failure_count == 1
 
     @property
     def is_suspected(self) -> bool:
