Keep control VMs known that an old list lacks, and a raised order that was lost

Cause: since names of control VMs are sent only when they change, a list of one that is out of date replaced a newer one for good, and an entry VM gave up a control VM that it should follow. The order of a target that had started again with an earlier start time is lost when all control VMs restart; an entry VM that still knew it took the target's draining for a record of an old incarnation. Change: an entry VM knows all control VMs that any of those it follows names. A record of the known incarnation that is not older keeps the known order.

--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -36,6 +36,7 @@
     table = make_roster(target(sequence=5))
     assert table.observe(target(sequence=4), 1.0, 1.0) is roster.STALE
     assert table.find("i-1").target.sequence == 5
+    assert table.observe(target(sequence=5), 1.0, 1.0) is roster.STALE
 
 
 def test_draining_incarnation_does_not_become_ready_again():
@@ -141,6 +142,32 @@
     assert first.observe(old, 6.0, 6.0) is roster.STALE
 
 
+def test_raised_order_survives_a_restart_of_all_control_vms():
+    """An entry VM that knows the order must not take a draining target for an old incarnation."""
+    old = target(started_ms=9000, sequence=40)
+    first, entry_vm = make_roster(old), make_roster(old)
+    announce_for(first, 10, 1.0, started_ms=7000)
+    entry_vm.observe(first.find("i-1").target, 6.0, 6.0)
+    restarted = make_roster()
+    restarted.announce(target(started_ms=7000, sequence=20, state=DRAINING), 7.0)
+    entry_vm.observe(restarted.find("i-1").target, 7.0, 7.0)
+    assert state_of(entry_vm) is DRAINING
+    restarted.deregister("i-1", 8.0)
+    entry_vm.observe(restarted.find("i-1").target, 8.0, 8.0)
+    assert state_of(entry_vm) is ENDED
+
+
+def test_older_end_does_not_end_a_target_that_has_returned():
+    """Another control VM still holds the record that a late deregistration had ended."""
+    table, other = make_roster(target(sequence=3)), make_roster(target(sequence=3))
+    table.deregister("i-1", 1.0)
+    other.observe(table.find("i-1").target, 1.0, 1.0)
+    announce_for(table, 10, 1.5, 4)
+    assert state_of(table) is READY
+    table.observe(other.find("i-1").target, 6.0, 6.0)
+    assert state_of(table) is READY
+
+
 def test_delayed_announcements_of_an_earlier_incarnation_are_not_accepted():
     """A healed partition lets several through at once, while the target runs or has just ended."""
     table = make_roster(target(started_ms=9000, sequence=1))
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -102,3 +102,23 @@
     view.apply_update("c1:1", report("vm-1", siblings.State.LOST, 1.0), 1.0)
     assert "vm-1" in view.entry_vms(1.0 + siblings.LOST_RETENTION_S)
     assert view.entry_vms(1.1 + siblings.LOST_RETENTION_S) == {}
+
+
+def test_control_vms_that_an_old_list_does_not_name_stay_known():
+    """Names are sent only when they change, so an old list must not replace a newer one."""
+    view = make("c1:1")
+    newer = ("c1:1", "c2:1", "c3:1")
+    view.apply_update("c1:1", feed.Update(controls=newer, is_current=True), 0.0)
+    assert set(view.select_control_vms(0.1)) == set(newer)
+    view.apply_update("c2:1", feed.Update(controls=("c1:1", "c2:1"), is_current=True), 0.2)
+    for name in newer:
+        view.apply_update(name, feed.Update(is_current=True), 0.3)
+    assert set(view.select_control_vms(0.4)) == set(newer)
+
+
+def test_control_vms_stay_known_when_all_connections_are_lost():
+    view = make("c1:1")
+    names = ("c1:1", "c2:1", "c3:1")
+    view.apply_update("c1:1", feed.Update(controls=names, is_current=True), 0.0)
+    view.connection_lost("c1:1")
+    assert set(view.select_control_vms(0.5)) == set(names)
--- a/zinniaspoke/roster.py
+++ b/zinniaspoke/roster.py
@@ -240,6 +240,7 @@
             self._mark_changed(entry)
             self._resolve_address_conflict(entry)
             return entry
+        target = self._restore_order(target, known.target)
         if not self._is_newer(target, known.target):
             if target.order == known.target.order:
                 self._renew(known, heard_s, now_s)
@@ -254,6 +255,17 @@
             self._resolve_address_conflict(known)
         return known
 
+    @staticmethod
+    def _restore_order(target: Target, known: Target) -> Target:
+        """Gives a newer record of the known incarnation its order, if the sender has lost it.
+
+        All control VMs may have restarted since the order was raised above the start time.
+        """
+        is_same = target.started_ms == known.started_ms and target.sequence >= known.sequence
+        if is_same and target.order_ms < known.order_ms:
+            return attrs.evolve(target, order_ms=known.order_ms)
+        return target
+
     @staticmethod
     def _is_newer(target: Target, known: Target) -> bool:
         """Compares two records; the state never decreases within an incarnation."""
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -31,6 +31,7 @@
     Attributes:
         last_update_s: When its last update arrived.
         last_current_s: When it last reported contact to a leader with a majority.
+        controls: The control VMs that it last named.
         number: Its rule number.
         is_complete: Whether it knows all targets.
         silent: Targets whose announcements it no longer receives.
@@ -40,6 +41,7 @@
 
     last_update_s: float
     last_current_s: float
+    controls: tuple[str, ...] = ()
     number: int = 0
     is_complete: bool = False
     silent: set[str] = attrs.field(factory=set)
@@ -82,7 +84,6 @@
         self.revision = 0
         self.pending_events: list[tuple[events.Event, str, str]] = []
         self._seeds = tuple(seeds)
-        self._known_control_vms: set[str] = set()
         self._feeds: dict[str, FeedState] = {}
         self._subscribed_s: dict[str, float] = {}
         self._unsubscribed_s: dict[str, float] = {}
@@ -115,7 +116,8 @@
         Args:
             now_s: Current time.
         """
-        known = {*self._seeds, *self._known_control_vms}
+        # All that any control VM names: one that is out of date may lack some.
+        known = {*self._seeds, *(name for f in self._feeds.values() for name in f.controls)}
         for name, since_s in list(self._subscribed_s.items()):
             if name not in known or (
                 now_s - since_s > LEADER_CONTACT_TIMEOUT_S and self._is_stale(name, now_s)
@@ -165,7 +167,7 @@
         state.last_update_s = now_s
         self._last_update_s = now_s
         if update.controls:
-            self._known_control_vms = set(update.controls)
+            state.controls = update.controls
         for observation in update.observations:
             self._apply_observation(state, observation, now_s)
         if update.content is not None and self.rules.install(update.number, update.content):
