--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from zinniaspoke import consensus
+from zinniaspoke import consensus, control
 from zinniaspoke.proto import control_pb2
 
 YES = control_pb2.SUBMIT_OUTCOME_YES
@@ -134,6 +134,29 @@
     assert cluster.now_s - before_s < consensus.ELECTION_TIMEOUT_MIN_S
 
 
+@pytest.mark.parametrize("is_cut_off", [False, True])
+def test_rule_file_submitted_on_both_sides_of_a_leadership_transfer_is_accepted_once(is_cut_off):
+    """A hand-over: the old leader gives leadership away, or is also cut off before it knows."""
+    cluster = replicas.Cluster(numbering="successive")
+    cluster.accept(1)
+    old = cluster.leader()
+    assert cluster.cores[old].replica.transfer_leadership(cluster.now_s)
+    first = cluster.submit(2, replicas.RULE + b"first", through=old)
+    if is_cut_off:
+        cluster.step()
+        cluster.isolate(old)
+    cluster.run_until(lambda: cluster.leader() not in (None, old))
+    second = cluster.submit(2, replicas.RULE + b"second", through=cluster.leader())
+    late = cluster.submit(2, replicas.RULE + b"first", through=old)
+    cluster.run(1.0)
+    cluster.heal()
+    cluster.run(control.SUBMIT_TIMEOUT_S + 1.0)
+    outcomes = {key: cluster.answers[key].outcome for key in (first, second, late)}
+    assert [key for key, outcome in outcomes.items() if outcome == YES] == [second]
+    contents = {core.history.current.content for core in cluster.cores.values()}
+    assert contents == {replicas.RULE + b"second"}
+
+
 def test_accepted_rules_survive_a_restart_after_a_thousand_changes():
     cluster = replicas.Cluster()
     for number in range(1, 1001):
