Select an opening's target in registered steps

Cause: the conditions about one opening stood in steering; evacuations, limits on cold targets, zones and shared evidence will decide about the same opening. Change: selection.py runs registered steps in a fixed order and names the step that decided, for the log; evacuated zones are the first step (the view's set is empty until control VMs send one).

--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -121,7 +121,11 @@
             now_s=lean.now_s(),
         )
         self.steering = location.create(
-            config.flow_location, codec.PACKET_FEATURES, view=self.view, rng=rng
+            config.flow_location,
+            codec.PACKET_FEATURES,
+            view=self.view,
+            rng=rng,
+            own_zone=config.zone,
         )
         self._pacer = (
             pacing.Pacer(bytes_per_s=config.link_bytes_per_s, counts=self.steering.counters)
--- a/zinniaspoke/flowstate.py
+++ b/zinniaspoke/flowstate.py
@@ -35,6 +35,7 @@
         retransmit_s: When it was last retransmitted.
         retransmit_count: How often it was retransmitted without an answer.
         is_counted: Whether it counts as load: the handshake or a request is in progress.
+        decided_by: What decided on the target, see ``selection.Selected``.
     """
 
     target: roster.Target
@@ -49,6 +50,7 @@
     retransmit_s: float = 0.0
     retransmit_count: int = 0
     is_counted: bool = True
+    decided_by: str = ""
 
     def record_payload(self, sequence: int, has_response: bool) -> None:
         """Counts a payload that is forwarded: a new one, or a retransmission.
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -21,6 +21,7 @@
     packets,
     roster,
     rules,
+    selection,
     subscription,
     zones,
 )
@@ -49,7 +50,7 @@
 SUSPECTED_RESET_AFTER_RETRANSMIT_COUNT = 1
 
 REFUSED_NO_ROUTE = errors.Nothing(reason="refused_no_route")
-REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
+REFUSED_NO_TARGET = selection.REFUSED_NO_TARGET
 DROPPED_UNKNOWN_TOKEN = errors.Nothing(reason="dropped_unknown_token")
 DROPPED_NOT_READY = errors.Nothing(reason="dropped_not_ready")
 DROPPED_NOT_FRESH = errors.Nothing(reason="dropped_not_fresh")
@@ -57,8 +58,13 @@
 DROPPED_RULES_CHANGED = errors.Nothing(reason="dropped_rules_changed")
 # Ends an open flow without promising anything about its request.
 RESET_UNRESPONSIVE = errors.Nothing(reason="reset_unresponsive_target")
-REFUSALS = (REFUSED_NO_ROUTE, REFUSED_NO_TARGET, backlog.REFUSED_TOO_MANY_WAITING)
-NO_CAPACITY = errors.Nothing(reason="no_place")
+REFUSALS = (
+    REFUSED_NO_ROUTE,
+    REFUSED_NO_TARGET,
+    selection.REFUSED_EVACUATED,
+    backlog.REFUSED_TOO_MANY_WAITING,
+)
+NO_CAPACITY = selection.NO_CAPACITY
 # Not final: the opening is queued and forwarded later.
 WAITING = errors.Nothing(reason="waiting_for_place")
 
@@ -113,6 +119,7 @@
         view: subscription.Subscription,
         rng: random.Random,
         policy: str = choosing.DEFAULT_POLICY,
+        own_zone: str = "",
     ) -> None:
         """Starts without flows.
 
@@ -120,9 +127,12 @@
             view: The rules and targets that this VM knows.
             rng: Seeded random source.
             policy: Name of the placement policy.
+            own_zone: This VM's availability zone.
         """
         self._view = view
-        self._choose = choosing.create(policy, rng)
+        self._selector = selection.Selector(
+            context=selection.Context(view=view, rng=rng, own_zone=own_zone), policy=policy
+        )
         self.counters = counters.Counters()
         self.newly_suspected: list[roster.Target] = []
         self._flows: dict[bytes, flowstate.Flow] = {}
@@ -158,7 +168,8 @@
         load = flow.load
         return (
             f"target {flow.target.identity} at {flow.target.address[0]} for {flow.target.service}, "
-            f"{load.in_flight_count} in flight, {load.failure_count} unanswered"
+            f"{load.in_flight_count} in flight, {load.failure_count} unanswered, "
+            f"decided by {flow.decided_by or 'load'}"
         )
 
     def _refresh(self) -> None:
@@ -299,18 +310,19 @@
             return WAITING
         if service not in self._ready_by_service:
             return REFUSED_NO_TARGET
-        load = NO_CAPACITY if queue else self._place(service, now_s, avoid=None)
-        if load is NO_CAPACITY:
+        found = NO_CAPACITY if queue else self._place(service, now_s, avoid=None)
+        if found is NO_CAPACITY:
             return self._enqueue(packet, service, rule.wait_s, now_s)
-        if isinstance(load, errors.Nothing):
-            return load
-        return self._admit(packet, load, now_s)
+        if isinstance(found, errors.Nothing):
+            return found
+        return self._admit(packet, found, now_s)
 
     def _rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
         found = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
         return REFUSED_NO_ROUTE if isinstance(found, errors.Nothing) else found
 
-    def _admit(self, packet: Packet, load: choosing.Load, now_s: float) -> roster.Target:
+    def _admit(self, packet: Packet, found: selection.Selected, now_s: float) -> roster.Target:
+        load = found.load
         load.in_flight_count += 1
         flow = self._flows[packet.flow] = flowstate.Flow(
             target=load.target,
@@ -319,22 +331,19 @@
             opening_sent_s=now_s,
             counted_since_s=now_s,
             last_packet_s=now_s,
+            decided_by=found.decided_by,
         )
         self._sent_openings.append((now_s, flow))
         return load.target
 
     def _place(
         self, service: str, now_s: float, avoid: choosing.Load | None
-    ) -> choosing.Load | errors.Nothing:
+    ) -> selection.Selected | errors.Nothing:
         loads = [load for load in self._ready_by_service.get(service, ()) if load is not avoid]
-        if not loads:
-            return REFUSED_NO_TARGET
-        free = [load for load in choosing.eligible(loads, now_s) if load.has_capacity]
-        if not free:
-            return NO_CAPACITY
-        load = self._choose(free, now_s)
-        load.record_placement(now_s)
-        return load
+        found = self._selector.select(loads, selection.Query(service=service, now_s=now_s))
+        if not isinstance(found, errors.Nothing):
+            found.load.record_placement(now_s)
+        return found
 
     # Queued openings
 
@@ -342,7 +351,9 @@
         self, packet: Packet, service: str, limit_s: float, now_s: float
     ) -> errors.Nothing:
         """Queues an opening until its deadline, as the targets' own full queues would refuse it."""
-        eligible = choosing.eligible(self._ready_by_service[service], now_s)
+        usable = self._selector.usable(
+            self._ready_by_service[service], selection.Query(service=service, now_s=now_s)
+        )
         elapsed_s = RETRANSMIT_TIMES_S[min(packet.retransmit_count, len(RETRANSMIT_TIMES_S) - 1)]
         queued = backlog.QueuedOpening(
             flow=packet.flow,
@@ -350,7 +361,7 @@
             queued_s=now_s,
             deadline_s=now_s + min(limit_s, CONNECT_TIMEOUT_S - elapsed_s),
         )
-        in_flight_limit = sum(load.in_flight_limit for load in eligible)
+        in_flight_limit = sum(load.in_flight_limit for load in usable)
         excess = self._backlogs[service].add(queued, in_flight_limit)
         self._reject([q for q in excess if q is not queued], backlog.REFUSED_TOO_MANY_WAITING)
         return backlog.REFUSED_TOO_MANY_WAITING if queued in excess else WAITING
@@ -382,8 +393,10 @@
             if queue and service not in self._ready_by_service:
                 self._reject(queue.clear(), REFUSED_NO_TARGET)
             while queue:
-                load = self._place(service, now_s, avoid=None)
-                if isinstance(load, errors.Nothing):
+                found = self._place(service, now_s, avoid=None)
+                if isinstance(found, errors.Nothing):
+                    if found in REFUSALS:
+                        self._reject(queue.clear(), found)
                     break
                 entry = queue.pop()
                 rule = self._rule_of(entry.opening)
@@ -392,7 +405,7 @@
                     # The caller's next retransmission is handled by the new rules.
                     self._reject([entry], DROPPED_RULES_CHANGED)
                     continue
-                released.append((entry.opening, self._admit(entry.opening, load, now_s)))
+                released.append((entry.opening, self._admit(entry.opening, found, now_s)))
                 self.counters.histograms["opening_wait"].note(now_s - entry.queued_s)
         return released
 
@@ -418,7 +431,8 @@
         flow.count_as_load()
         other = self._place(flow.target.service, now_s, avoid=flow.load)
         if not isinstance(other, errors.Nothing):
-            flow.move(other)
+            flow.move(other.load)
+            flow.decided_by = other.decided_by
             self.counters.events["openings_moved"] += 1
         return flow.target
 
