Hedge unanswered openings of idempotent rules within a budget

Cause: an opening that is lost or sent to a dark target waits 0.2 s for the caller's own copy; operators accept some extra work for requests that may be repeated if it cuts the slowest answers.

--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -126,6 +126,7 @@
             view=self.view,
             rng=rng,
             own_zone=config.zone,
+            hedge_share=config.hedge_share,
         )
         self._pacer = (
             pacing.Pacer(bytes_per_s=config.link_bytes_per_s, counts=self.steering.counters)
@@ -133,6 +134,7 @@
             else None
         )
         self._pacer_timer: asyncio.TimerHandle | None = None
+        self._hedge_timer: asyncio.TimerHandle | None = None
         # Packets that the pacer had dropped when that was last logged.
         self._link_drops = 0
         self._diallers: dict[str, links.Dialler] = {}
@@ -197,6 +199,7 @@
             self._handle(data, now_s)
         self._release(now_s)
         self._schedule_pacer(now_s)
+        self._schedule_hedges(now_s)
 
     def _handle(self, data: bytes, now_s: float) -> None:
         packet = self._codec.decode(data)
@@ -252,6 +255,26 @@
     def _drop(self, reason: str) -> None:
         self.counters.drops[reason] += 1
 
+    # Hedged openings
+
+    def _schedule_hedges(self, now_s: float) -> None:
+        due_s = self.steering.next_hedge_s
+        if due_s is not None and self._hedge_timer is None:
+            loop = asyncio.get_running_loop()
+            self._hedge_timer = loop.call_later(max(0.0, due_s - now_s), self._send_hedges)
+
+    def _send_hedges(self) -> None:
+        self._hedge_timer = None
+        now_s = lean.now_s()
+        self.view.detect_suspension(now_s)
+        for packet, target in self.steering.take_hedges(now_s):
+            self._send_packet(packet, target, now_s)
+            peer = self._codec.describe(packet.datagram)
+            detail = f"also to {target.identity}, {self.steering.explain(packet.flow)}"
+            self._output.write(events.FLOW_HEDGED, "hedge", peer, detail)
+        self._schedule_pacer(now_s)
+        self._schedule_hedges(now_s)
+
     # Sending at the link's pace
 
     def _send_packet(self, packet: steering.Packet, target: roster.Target, now_s: float) -> None:
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -73,6 +73,9 @@
 LINK_OVERLOADED = _define(
     407, "link_overloaded", "Packets were dropped that this VM's link could not carry in time."
 )
+FLOW_HEDGED = _define(
+    408, "flow_hedged", "An opening that was not answered in time was sent to a second target."
+)
 SETTINGS_CHANGED = _define(4, "settings_changed", "The settings file changed and was read again.")
 SETTINGS_REFUSED = _define(6, "settings_refused", "Changed settings cannot be used; the old stay.")
 METRICS_UNSERVED = _define(5, "metrics_unserved", "The metrics address could not be opened.")
--- a/zinniaspoke/flowstate.py
+++ b/zinniaspoke/flowstate.py
@@ -27,6 +27,7 @@
         load: The target's load, which includes this flow while ``is_counted``.
         stage: State of the handshake.
         opening_sent_s: When its opening was last forwarded.
+        opening_count: How often its opening was forwarded, without hedges.
         counted_since_s: When it last began to count as load.
         last_packet_s: When its last packet arrived.
         acknowledged: The acknowledgment number of its last packet.
@@ -36,6 +37,7 @@
         retransmit_count: How often it was retransmitted without an answer.
         is_counted: Whether it counts as load: the handshake or a request is in progress.
         decided_by: What decided on the target, see ``selection.Selected``.
+        hedge: The second target of a hedged opening until the flow is open; None without one.
     """
 
     target: roster.Target
@@ -51,6 +53,8 @@
     retransmit_count: int = 0
     is_counted: bool = True
     decided_by: str = ""
+    hedge: choosing.Load | None = None
+    opening_count: int = 1
 
     def record_payload(self, sequence: int, has_response: bool) -> None:
         """Counts a payload that is forwarded: a new one, or a retransmission.
@@ -82,6 +86,21 @@
         self.load = load
         self.target = load.target
 
+    def add_hedge(self, load: choosing.Load) -> None:
+        """Counts a hedged opening as load of its second target too.
+
+        Args:
+            load: The second target's load.
+        """
+        load.in_flight_count += 1
+        self.hedge = load
+
+    def drop_hedge(self) -> None:
+        """Stops counting the hedged opening at its second target."""
+        if self.hedge is not None:
+            self.hedge.in_flight_count -= 1
+            self.hedge = None
+
     def count_as_load(self) -> None:
         """Starts to count the flow as load of its target, unless it is closed."""
         if not self.is_counted and self.stage is not Stage.CLOSED:
@@ -90,7 +109,8 @@
             self.load.in_flight_count += 1
 
     def uncount_as_load(self) -> None:
-        """Stops counting the flow as load of its target."""
+        """Stops counting the flow as load of its target, and of the second one of a hedge."""
+        self.drop_hedge()
         if self.is_counted:
             self.is_counted = False
             self.load.in_flight_count -= 1
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -83,15 +83,19 @@
         ready: Where the fabric asks whether this VM is ready.
         flow_location: How a flow's target is found; see ``location``.
         link_bytes_per_s: Bandwidth of its link; 0 where packets are sent as they come.
+        hedge_share: Largest share of openings that may be hedged; 0 for none. See ``hedging``.
     """
 
     packets: tuple[str, int]
     ready: tuple[str, int]
     flow_location: str = "tokens"
     link_bytes_per_s: float = 0.0
+    hedge_share: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         """Checks what no later step would notice."""
         super().__attrs_post_init__()
         if not self.link_bytes_per_s >= 0:
             raise self._error("link_bytes_per_s", "below 0")
+        if not 0 <= self.hedge_share <= 1:
+            raise self._error("hedge_share", "not a share between 0 and 1")
--- a/zinniaspoke/rules.py
+++ b/zinniaspoke/rules.py
@@ -48,6 +48,17 @@
     return text == "yes"
 
 
+@_option("hedge")
+def _parse_hedge(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value <= 1:
+        raise ValueError(f"hedge is a share between 0 and 1, not {text!r}")
+    return value
+
+
 @_option("split")
 def _parse_split(text: str) -> tuple[tuple[str, int], ...]:
     """Parses ``SERVICE:WEIGHT,SERVICE:WEIGHT,…``."""
@@ -87,6 +98,7 @@
         split: Services and weights among which new flows are split; if empty, all new flows go to
             ``service``.
         idempotent: Whether callers may repeat a request whose outcome they do not know.
+        hedge: Largest share of its openings that may be hedged; None for the setting's.
         comment: Who asked for the rule and why.
         line: Line number in the file.
     """
@@ -100,6 +112,7 @@
     wait_s: float = 2.0
     split: tuple[tuple[str, int], ...] = ()
     idempotent: bool = False
+    hedge: float | None = None
     comment: str
     line: int
 
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -18,6 +18,7 @@
     errors,
     flowstate,
     hashing,
+    hedging,
     packets,
     roster,
     rules,
@@ -120,6 +121,7 @@
         rng: random.Random,
         policy: str = choosing.DEFAULT_POLICY,
         own_zone: str = "",
+        hedge_share: float = 0.0,
     ) -> None:
         """Starts without flows.
 
@@ -128,8 +130,11 @@
             rng: Seeded random source.
             policy: Name of the placement policy.
             own_zone: This VM's availability zone.
+            hedge_share: Largest share of openings that may be hedged.
         """
         self._view = view
+        self._own_zone = own_zone
+        self._hedger = hedging.Hedger(share=hedge_share)
         self._selector = selection.Selector(
             context=selection.Context(view=view, rng=rng, own_zone=own_zone), policy=policy
         )
@@ -310,18 +315,20 @@
             return WAITING
         if service not in self._ready_by_service:
             return REFUSED_NO_TARGET
-        found = NO_CAPACITY if queue else self._place(service, now_s, avoid=None)
+        found = NO_CAPACITY if queue else self._place(service, now_s)
         if found is NO_CAPACITY:
             return self._enqueue(packet, service, rule.wait_s, now_s)
         if isinstance(found, errors.Nothing):
             return found
-        return self._admit(packet, found, now_s)
+        return self._admit(packet, found, rule, now_s)
 
     def _rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
         found = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
         return REFUSED_NO_ROUTE if isinstance(found, errors.Nothing) else found
 
-    def _admit(self, packet: Packet, found: selection.Selected, now_s: float) -> roster.Target:
+    def _admit(
+        self, packet: Packet, found: selection.Selected, rule: rules.Rule, now_s: float
+    ) -> roster.Target:
         load = found.load
         load.in_flight_count += 1
         flow = self._flows[packet.flow] = flowstate.Flow(
@@ -334,12 +341,19 @@
             decided_by=found.decided_by,
         )
         self._sent_openings.append((now_s, flow))
+        if rule.idempotent and not packet.retransmit_count:
+            self._hedger.record_opening(
+                hedging.Due(flow=packet.flow, opening=packet, sent_s=now_s),
+                service=load.target.service,
+                is_own_zone=load.target.zone == self._own_zone,
+                rule_share=rule.hedge,
+            )
         return load.target
 
     def _place(
-        self, service: str, now_s: float, avoid: choosing.Load | None
+        self, service: str, now_s: float, avoid: tuple[choosing.Load | None, ...] = ()
     ) -> selection.Selected | errors.Nothing:
-        loads = [load for load in self._ready_by_service.get(service, ()) if load is not avoid]
+        loads = [load for load in self._ready_by_service.get(service, ()) if load not in avoid]
         found = self._selector.select(loads, selection.Query(service=service, now_s=now_s))
         if not isinstance(found, errors.Nothing):
             found.load.record_placement(now_s)
@@ -393,7 +407,7 @@
             if queue and service not in self._ready_by_service:
                 self._reject(queue.clear(), REFUSED_NO_TARGET)
             while queue:
-                found = self._place(service, now_s, avoid=None)
+                found = self._place(service, now_s)
                 if isinstance(found, errors.Nothing):
                     if found in REFUSALS:
                         self._reject(queue.clear(), found)
@@ -405,7 +419,7 @@
                     # The caller's next retransmission is handled by the new rules.
                     self._reject([entry], DROPPED_RULES_CHANGED)
                     continue
-                released.append((entry.opening, self._admit(entry.opening, found, now_s)))
+                released.append((entry.opening, self._admit(entry.opening, found, rule, now_s)))
                 self.counters.histograms["opening_wait"].note(now_s - entry.queued_s)
         return released
 
@@ -427,9 +441,11 @@
         if is_unresponsive and flow.load.record_failure(flow.opening_sent_s, now_s):
             self.newly_suspected.append(flow.target)
         flow.opening_sent_s = now_s
+        flow.opening_count += 1
         self._sent_openings.append((now_s, flow))
         flow.count_as_load()
-        other = self._place(flow.target.service, now_s, avoid=flow.load)
+        other = self._place(flow.target.service, now_s, avoid=(flow.load, flow.hedge))
+        flow.drop_hedge()
         if not isinstance(other, errors.Nothing):
             flow.move(other.load)
             flow.decided_by = other.decided_by
@@ -441,6 +457,15 @@
         answered = self._loads.get(packet.token)
         if answered is None:
             return
+        if answered is flow.hedge:
+            self.counters.events["hedges_won"] += 1
+        elif flow.hedge is None and flow.opening_count == 1:
+            self._hedger.record_answer(
+                service=answered.target.service,
+                is_own_zone=answered.target.zone == self._own_zone,
+                elapsed_s=now_s - flow.opening_sent_s,
+            )
+        flow.drop_hedge()
         if answered is not flow.load:
             flow.move(answered)
         flow.stage = flowstate.Stage.OPEN
@@ -491,6 +516,53 @@
                 self._backlogs[flow.target.service].record_duration(now_s - opening_sent_s)
                 flow.uncount_as_load()
 
+    # Hedged openings
+
+    @property
+    def next_hedge_s(self) -> float | None:
+        """When ``take_hedges`` has to be called next, or None."""
+        return self._hedger.next_due_s
+
+    def take_hedges(self, now_s: float) -> list[tuple[Packet, roster.Target]]:
+        """Returns openings to be sent to a second target as well, with that target.
+
+        Args:
+            now_s: Current time.
+        """
+        if not self._view.is_fresh(now_s):
+            self._hedger.discard_all()
+        hedges = []
+        for due in self._hedger.take_due(now_s):
+            flow = self._flows.get(due.flow)
+            if (
+                flow is None
+                or flow.stage is not flowstate.Stage.OPENING
+                or flow.opening_sent_s != due.sent_s
+            ):
+                continue
+            load = self._place_hedge(flow, now_s)
+            if not isinstance(load, errors.Nothing):
+                flow.add_hedge(load)
+                hedges.append((due.opening, load.target))
+                self.counters.events["hedges_sent"] += 1
+            else:
+                self.counters.events[f"hedges_{load.reason}"] += 1
+        return hedges
+
+    def _place_hedge(self, flow: flowstate.Flow, now_s: float) -> choosing.Load | errors.Nothing:
+        """Selects the second target of a hedged opening, if the budget and the load allow one."""
+        if self._link_busy_s >= flow.opening_sent_s:
+            return hedging.LINK_BUSY
+        if self._backlogs[flow.target.service]:
+            return NO_CAPACITY
+        if not self._hedger.budget.is_enough:
+            return hedging.NO_BUDGET
+        found = self._place(flow.target.service, now_s, avoid=(flow.load,))
+        if isinstance(found, errors.Nothing):
+            return found
+        self._hedger.budget.spend()
+        return found.load
+
     # Periodic work
 
     def tick(self, now_s: float) -> None:
