Reset open flows on proof that their target is gone

Cause: an open flow was reset after two retransmissions, or after one while its target was under suspicion. Change: resets.py collects which packets with requests went unanswered at a target since it was last heard, and how many are needed at the loss that this VM measures (3 at 0.1%). Openings and missed announcements prove nothing about open flows. A target that has ended or started again needs one unanswered packet. A zone that is cut off is proven by several of its targets. A VM that hears no target at all resets nothing. Moved out of steering.py, as are the fields of a packet (callerpacket.py).

--- a/zinniaspoke/flowstate.py
+++ b/zinniaspoke/flowstate.py
@@ -34,6 +34,7 @@
         payload_sent_s: When that payload was first forwarded.
         retransmit_s: When it was last retransmitted.
         retransmit_count: How often it was retransmitted without an answer.
+        unanswered_sent_s: When the copy before its last retransmission was forwarded.
         is_counted: Whether it counts as load: the handshake or a request is in progress.
         decided_by: What decided on the target, see ``selection.Selected``.
     """
@@ -49,10 +50,11 @@
     payload_sent_s: float = 0.0
     retransmit_s: float = 0.0
     retransmit_count: int = 0
+    unanswered_sent_s: float = -1e9
     is_counted: bool = True
     decided_by: str = ""
 
-    def record_payload(self, sequence: int, has_response: bool) -> None:
+    def record_payload(self, sequence: int, has_response: bool) -> bool:
         """Counts a payload that is forwarded: a new one, or a retransmission.
 
         Copies that arrive together, after a suspension of this VM, count as one.
@@ -60,15 +62,22 @@
         Args:
             sequence: Position of the payload.
             has_response: Whether the target has sent bytes since the last packet.
+
+        Returns:
+            Whether it is a retransmission, so that the copy before went unanswered.
         """
         now_s = self.last_packet_s
         if sequence != self.sequence or has_response:
             self.sequence = sequence
             self.payload_sent_s = self.retransmit_s = now_s
             self.retransmit_count = 0
-        elif now_s - self.retransmit_s >= MIN_RETRANSMIT_S:
-            self.retransmit_s = now_s
-            self.retransmit_count += 1
+            self.unanswered_sent_s = -1e9
+            return False
+        if now_s - self.retransmit_s < MIN_RETRANSMIT_S:
+            return False
+        self.unanswered_sent_s, self.retransmit_s = self.retransmit_s, now_s
+        self.retransmit_count += 1
+        return True
 
     def move(self, load: choosing.Load) -> None:
         """Assigns the flow to another target.
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -6,19 +6,18 @@
 """
 
 import collections
-import enum
 import random
 
-import attrs
-
 from zinniaspoke import (
     backlog,
+    callerpacket,
     choosing,
     counters,
     errors,
     flowstate,
     hashing,
     packets,
+    resets,
     roster,
     rules,
     selection,
@@ -41,13 +40,8 @@
 RECORD_TIMEOUT_S = 15.0
 CLOSED_RECORD_TIMEOUT_S = 3.0
 SWEEP_INTERVAL_S = 0.5
-# A target acknowledges a request's packet, at the latest its first retransmission, long before the
-# request is done. Two retransmissions, after 0.2 s and 0.6 s, mean that the target is unreachable.
-RESET_AFTER_RETRANSMIT_COUNT = 2
-RESET_AFTER_S = 0.5
-# One is enough for a target whose openings go unanswered, whose announcements have stopped or whose
-# zone is suspected.
-SUSPECTED_RESET_AFTER_RETRANSMIT_COUNT = 1
+# Incarnations that have ended, by token, for the flows that were open there.
+FORMER_LIMIT = 1000
 
 REFUSED_NO_ROUTE = errors.Nothing(reason="refused_no_route")
 REFUSED_NO_TARGET = selection.REFUSED_NO_TARGET
@@ -69,40 +63,8 @@
 WAITING = errors.Nothing(reason="waiting_for_place")
 
 
-class Kind(enum.Enum):
-    """Effect of a packet on its flow: open it, carry data, close it or reset it."""
-
-    OPENING = "opening"
-    DATA = "data"
-    END = "end"
-    RESET = "reset"
-
-
-@attrs.define(kw_only=True, slots=True)
-class Packet:
-    """The fields of a caller's packet on which forwarding depends.
-
-    Attributes:
-        flow: Key of the flow: addresses and ports of both ends.
-        route: Service address and port, packed.
-        kind: Effect on the flow.
-        token: The routing token that it carries; 0 for none.
-        sequence: Position of its payload in the caller's bytes.
-        acknowledged: How far the caller has received the target's bytes; it only advances.
-        has_payload: Whether it carries bytes of the caller.
-        retransmit_count: For an opening, how many copies the caller sent before this one.
-        datagram: The packet as received.
-    """
-
-    flow: bytes
-    route: bytes
-    kind: Kind
-    token: int
-    sequence: int = 0
-    acknowledged: int = 0
-    has_payload: bool = False
-    retransmit_count: int = 0
-    datagram: bytes = b""
+Kind = callerpacket.Kind
+Packet = callerpacket.Packet
 
 
 class Steering:
@@ -137,6 +99,8 @@
         self.newly_suspected: list[roster.Target] = []
         self._flows: dict[bytes, flowstate.Flow] = {}
         self._loads: dict[int, choosing.Load] = {}
+        self._judge = resets.Judge()
+        self._former: dict[int, choosing.Load] = {}
         self._zones = collections.defaultdict[str, zones.ZoneHealth](zones.ZoneHealth)
         self._target_by_token: dict[int, roster.Target] = {}
         self._ready_by_service: dict[str, list[choosing.Load]] = {}
@@ -172,7 +136,7 @@
             f"decided by {flow.decided_by or 'load'}"
         )
 
-    def _refresh(self) -> None:
+    def _refresh(self, now_s: float) -> None:
         """Rebuilds the look-up tables after a change of targets or rules."""
         self._revision = self._view.revision
         self._target_by_token = {}
@@ -192,8 +156,20 @@
             load.is_silent = not self._view.is_alive(target.identity)
             if target.state is roster.State.READY:
                 self._ready_by_service.setdefault(target.service, []).append(load)
+            elif target.state is roster.State.ENDED:
+                self._judge.note_ended(target.token, now_s)
         for token in self._loads.keys() - self._target_by_token.keys():
-            del self._loads[token]
+            self._retire(self._loads.pop(token), now_s)
+        self._judge.keep_ended([*self._target_by_token, *self._former])
+
+    def _retire(self, load: choosing.Load, now_s: float) -> None:
+        """Keeps what its flows need of a target that has started again."""
+        entry = self._view.targets.find(load.target.identity)
+        if entry is not None and entry.target.token != load.target.token:
+            self._former[load.target.token] = load
+            self._judge.note_ended(load.target.token, now_s)
+            if len(self._former) > FORMER_LIMIT:
+                del self._former[next(iter(self._former))]
 
     def steer(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         """Chooses the target of a caller's packet.
@@ -207,7 +183,7 @@
             sent a refusal; for ``WAITING`` the opening is queued; otherwise it is dropped silently.
         """
         if self._revision != self._view.revision:
-            self._refresh()
+            self._refresh(now_s)
         if packet.kind is Kind.OPENING:
             return self._steer_opening(packet, now_s)
         flow = self._flows.get(packet.flow)
@@ -220,15 +196,15 @@
             self._update_load(flow, packet)
         if packet.kind is not Kind.DATA:
             self._close(flow)
-        elif flow.retransmit_count and self._is_unresponsive(flow, packet, now_s):
-            return self._reset(flow, now_s)
+        elif flow.retransmit_count and self._link_busy_s < flow.payload_sent_s:
+            return self._judge_open(flow, packet, now_s)
         return flow.target
 
     def _steer_unrecorded(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         if packet.kind is not Kind.DATA:
             for queue in self._backlogs.values():
                 queue.remove(packet.flow)
-        load = self._loads.get(packet.token)
+        load = self._loads.get(packet.token) or self._former.get(packet.token)
         if load is None:
             return DROPPED_UNKNOWN_TOKEN
         if packet.kind is Kind.DATA and packet.has_payload:
@@ -264,28 +240,18 @@
         """
         self._link_busy_s = now_s
 
-    def _is_unresponsive(self, flow: flowstate.Flow, packet: Packet, now_s: float) -> bool:
-        """Whether a request was retransmitted so often that its target must be unreachable.
-
-        Only flows of rules whose requests callers may repeat are reset; the others would gain
-        nothing.
-        """
-        load = flow.load
-        is_suspected = load.failure_count > 0 or load.is_silent or load.zone.is_suspected
-        is_repeated = (
-            flow.retransmit_count >= RESET_AFTER_RETRANSMIT_COUNT
-            and now_s - flow.payload_sent_s >= RESET_AFTER_S
-        ) or (is_suspected and flow.retransmit_count >= SUSPECTED_RESET_AFTER_RETRANSMIT_COUNT)
-        is_heard = max(load.heard_s, load.answered_s) > flow.payload_sent_s
-        is_sent = self._link_busy_s < flow.payload_sent_s
-        if not is_repeated or is_heard or not is_sent:
-            return False
-        rule = self._rule_of(packet)
-        return not isinstance(rule, errors.Nothing) and rule.idempotent
-
-    def _reset(self, flow: flowstate.Flow, now_s: float) -> errors.Nothing:
+    def _judge_open(
+        self, flow: flowstate.Flow, packet: Packet, now_s: float
+    ) -> roster.Target | errors.Nothing:
+        """Resets a flow whose target must be gone, if its caller may repeat the request."""
+        proof = self._judge.find_proof(flow, self._flows.values(), now_s)
+        rule = self._rule_of(packet) if proof else REFUSED_NO_ROUTE
+        if isinstance(rule, errors.Nothing) or not rule.idempotent:
+            return flow.target
         if flow.load.record_failure(flow.payload_sent_s, now_s):
             self.newly_suspected.append(flow.target)
+        flow.decided_by = proof
+        self.counters.events[f"resets_{proof}"] += 1
         flow.stage = flowstate.Stage.CLOSED
         flow.uncount_as_load()
         return RESET_UNRESPONSIVE
@@ -388,7 +354,7 @@
         if not self._view.is_fresh(now_s):
             return released
         if self._revision != self._view.revision:
-            self._refresh()
+            self._refresh(now_s)
         for service, queue in self._backlogs.items():
             if queue and service not in self._ready_by_service:
                 self._reject(queue.clear(), REFUSED_NO_TARGET)
@@ -449,6 +415,7 @@
         if packet.has_payload:
             flow.record_payload(packet.sequence, has_response=True)
         answered.record_answer(now_s)
+        self._judge.heard_s = now_s
         self.counters.histograms["handshake"].note(now_s - flow.opening_sent_s)
         self.counters.events["flows_opened"] += 1
 
@@ -461,8 +428,13 @@
         flow.acknowledged = packet.acknowledged
         if has_response:
             flow.load.record_bytes(flow.last_packet_s)
+            if flow.is_counted or flow.retransmit_count:
+                self._judge.note_answered(flow.retransmit_count, flow.last_packet_s)
+            flow.retransmit_count = 0
         if packet.has_payload:
-            flow.record_payload(packet.sequence, has_response)
+            is_repeated = flow.record_payload(packet.sequence, has_response)
+            if is_repeated and self._link_busy_s < flow.unanswered_sent_s:
+                self._judge.note_unanswered(flow.load, flow.unanswered_sent_s, flow.last_packet_s)
             flow.count_as_load()
         elif has_response:
             self._finish_request(flow)
