--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -6,6 +6,7 @@
 import random
 
 from zinniaspoke import consensus, control, errors, log, storage
+from zinniaspoke.proto import control_pb2
 
 STEP_S = 0.02
 NAMES = {1: ("a",), 3: ("a", "b", "c"), 5: ("a", "b", "c", "d", "e")}
@@ -38,6 +39,10 @@
         self.leaders_by_term = {}
         # Highest rule file number that each replica has applied.
         self.highest = dict.fromkeys(self.names, 0)
+        # Evacuated zones by revision, and the revision that each process has applied.
+        self.places = {0: frozenset()}
+        self.place_revisions = {}
+        self.start_count = 0
         for name in self.names:
             self.start(name)
 
@@ -47,7 +52,7 @@
     def start(self, name):
         try:
             entries = log.Log(files=self.disks[name])
-            self.cores[name] = control.Control(
+            core = control.Control(
                 name=name,
                 initial_voters=self.initial_voters,
                 entries=entries,
@@ -55,6 +60,11 @@
                 now_s=self.local_time_s(name),
                 **self.membership,
             )
+            # Answers to an earlier process stay apart.
+            self.start_count += 1
+            core._next_ticket = 1_000_000 * self.start_count
+            self.cores[name] = core
+            self.place_revisions.pop(id(core), None)
         except storage.SimulatedCrash:
             self.crash(name)
 
@@ -180,6 +190,15 @@
                 assert known == replica.member, f"two leaders in term {replica.term}"
             self._check_committed(core)
             self.highest[name] = max(self.highest[name], core.history.number)
+            self._check_places(core)
+
+    def _check_places(self, core):
+        """Asserts that a revision means the same zones everywhere and never falls in a process."""
+        places = core.evacuations
+        known = self.places.setdefault(places.revision, places.zones)
+        assert known == places.zones, f"evacuated zones of revision {places.revision} changed"
+        assert self.place_revisions.get(id(core), 0) <= places.revision
+        self.place_revisions[id(core)] = places.revision
 
     def _check_committed(self, core):
         current = core.history.current
@@ -207,6 +226,13 @@
         ticket = self.call_core(name, lambda c: c.submit(number, content, self.local_time_s(name)))
         return name, ticket
 
+    def order(self, zone, is_evacuated=True, through=None, latest_s=None):
+        """Gives a zone order and returns the key of its reply in ``answers``."""
+        name = through or self.wait_for_leader()
+        made = control_pb2.ZoneOrder(zone=zone, is_evacuated=is_evacuated)
+        ticket = self.call_core(name, lambda c: c.order(made, self.local_time_s(name), latest_s))
+        return name, ticket
+
     def accept(self, number, content=RULE):
         """Submits a rule file until the reply is yes, and returns the reply."""
         deadline_s = self.now_s + 20.0
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -8,7 +8,7 @@
 from test_roster import target
 from test_steering import Vm, flow
 
-from zinniaspoke import coordinator, errors, feed, roster, siblings
+from zinniaspoke import control, coordinator, errors, feed, roster, siblings
 
 DRAINING, ENDED = roster.State.DRAINING, roster.State.ENDED
 INTERVAL_S = 1.2
@@ -224,3 +224,41 @@
     vm.view.apply_update("c1:1", restarted.full_update(2.0), vm.now_s)
     assert vm.view.targets.find("i-3").target.state is ENDED
     assert all(vm.packet(flow(n)).identity != "i-3" for n in range(30))
+
+
+def view(revision, *zones):
+    return control.View(evacuated=frozenset(zones), places_revision=revision)
+
+
+def test_subscribers_are_sent_evacuated_zones_at_once_and_only_once():
+    vm = make()
+    holder = connect(vm, "vm-1")
+    vm.update_for(holder, 1.0)
+    assert vm.update_for(holder, 1.1) is None
+    vm.take_view(view(1, "b", "a"), 1.1)
+    sent = round_trip(vm.update_for(holder, 1.1))
+    assert (sent.places_revision, sent.evacuated_zones) == (1, ("a", "b"))
+    assert vm.update_for(holder, 1.2) is None
+    heartbeat = round_trip(vm.update_for(holder, 1.2 + coordinator.HEARTBEAT_INTERVAL_S))
+    assert (heartbeat.places_revision, heartbeat.evacuated_zones) == (1, None)
+
+
+def test_end_of_an_evacuation_is_sent_with_its_age_for_a_while():
+    vm = make()
+    vm.take_view(view(2, "a", "b"), 1.0)
+    vm.take_view(view(3, "b"), 5.0)
+    sent = round_trip(vm.update_for(connect(vm, "vm-1"), 6.5))
+    assert (sent.evacuated_zones, sent.returned_zones) == (("b",), (("a", 1.5),))
+    late = vm.update_for(connect(vm, "vm-2"), 5.0 + coordinator.RETURN_KEEP_S)
+    assert late.returned_zones == ()
+    vm.take_view(view(4, "a", "b"), 7.0)
+    assert vm.update_for(connect(vm, "vm-3"), 7.5).returned_zones == ()
+
+
+def test_updates_do_not_grow_before_the_first_order():
+    vm = make()
+    holder = connect(vm, "vm-1")
+    data = feed.encode(vm.update_for(holder, 0.0), 0.0)
+    assert b"places" not in data
+    assert b"zones" not in data
+    assert round_trip(vm.update_for(holder, 1.0)).evacuated_zones is None
--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -22,6 +22,7 @@
 )
 from zinniaspoke.adapters import links, page
 from zinniaspoke.daemons import lean, lean_control, lean_entry
+from zinniaspoke.proto import control_pb2
 
 LEADER = consensus.Role.LEADER
 BEAT_DATA = json.dumps(BEAT).encode()
@@ -77,6 +78,7 @@
                 may_bootstrap=True,
                 lost_disk_count=1,
                 numbering="highest",
+                zones=("a", "b"),
             ),
             output=self.notes,
         )
@@ -124,6 +126,18 @@
             await asyncio.sleep(0.2)
         return statuses[-1]
 
+    def leader(self):
+        return next((c for c in self.controls.values() if c.replica.role is LEADER), None)
+
+    async def order(self, method, zone, hosts=HOSTS):
+        """Gives a zone order until it is answered with something else than 503."""
+        for host in (*hosts, *hosts, *hosts):
+            status, _ = await self.call(host, method, f"/api/evacuations/{zone}")
+            if status != 503:
+                return status
+            await asyncio.sleep(0.2)
+        return 503
+
     async def stop(self):
         for program in self.controls.values():
             await program.leave()
@@ -552,3 +566,127 @@
         assert taken == ['{"seeds": 1}']
 
     asyncio.run(play())
+
+
+def test_zone_orders_are_taken_anywhere_and_in_force_at_entry_vms(site):
+    async def play():
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        await site.start_entry()
+        await site.until(lambda: site.entry.is_ready or len(site.entry.view._feeds) > 2)
+        for host in HOSTS:
+            assert await site.order("POST", "a", (host,)) == 200
+            await site.until(lambda: site.entry.view.evacuated_zones == {"a"})
+            assert await site.order("POST", "a", (host,)) == 200
+            assert await site.order("DELETE", "a", (host,)) == 200
+            await site.until(lambda: not site.entry.view.evacuated_zones)
+            assert await site.order("DELETE", "a", (host,)) == 200
+        assert site.entry.view.places_revision == 6
+        assert {c.replica.places_revision for c in site.controls.values()} == {6}
+        assert {c.replica.rules.number for c in site.controls.values()} == {5}
+        told = [(e, peer) for e, peer, _ in site.notes.written if e is events.ZONE_EVACUATED]
+        assert told == [(events.ZONE_EVACUATED, "a")] * 3
+        await site.entry.leave()
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_zone_orders_that_make_no_sense_get_a_clear_answer(site):
+    async def play():
+        await founded(site)
+        await site.until(lambda: site.leader())
+        for method in ("POST", "DELETE"):
+            for zone in ("c", "", "a/b", "%61", "a%2Fb", "a" * 200, "a%00", "a;b"):
+                status, _ = await site.call(HOSTS[1], method, f"/api/evacuations/{zone}")
+                assert status == 404, zone
+            status, _ = await site.call(HOSTS[1], method, "/api/evacuations/a", b"{}")
+            assert status == 400
+        for method in ("PUT", "GET", "PATCH"):
+            assert (await site.call(HOSTS[1], method, "/api/evacuations/a"))[0] == 404
+        assert (await site.call(HOSTS[1], "POST", "/api/evacuations"))[0] == 404
+        assert all(not c.replica.places_revision for c in site.controls.values())
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_zone_order_is_503_in_time_where_there_is_no_majority(site):
+    async def play():
+        await founded(site)
+        assert await site.order("POST", "a") == 200
+        for host in HOSTS[1:]:
+            program = site.controls.pop(host)
+            await program.leave()
+            for dialler in program._diallers.values():
+                dialler.close()
+            for link in (*program._controls_in, *program._subscribers):
+                link.abort()
+        started_s = lean.now_s()
+        assert (await site.call(HOSTS[0], "DELETE", "/api/evacuations/a"))[0] == 503
+        assert lean.now_s() - started_s < 1.0
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_calls_that_may_have_waited_for_a_standing_event_loop_give_no_orders(site):
+    async def play():
+        await founded(site)
+        assert await site.order("POST", "a") == 200
+        program = site.controls[HOSTS[0]]
+        order = control_pb2.ZoneOrder(zone="a")
+        program._ticked_s -= lean_control.STALL_S
+        assert await program.order(order) is None
+        await asyncio.sleep(3 * lean_control.TICK_S)
+        assert await program.order(order) is None
+        assert program.counters.events["orders_after_stall"] == 2
+        assert all(c.replica.evacuated for c in site.controls.values())
+        await asyncio.sleep(lean_control.STALL_READ_S)
+        assert (await program.order(order)).order == order
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_order_passed_on_late_or_to_a_restarted_leader_is_not_proposed(site):
+    async def play():
+        await founded(site)
+        assert await site.order("POST", "a") == 200
+        await site.until(site.leader)
+        leader = site.leader()
+        for latest in (
+            control_pb2.ProcessTime(process=leader._process, time_s=lean.now_s() - 0.01),
+            control_pb2.ProcessTime(process=leader._process + 1, time_s=lean.now_s() + 10),
+        ):
+            call = control_pb2.Call(order=control_pb2.ZoneOrder(zone="a"), latest=latest)
+            link = next(iter(leader._controls_in))
+            leader._take_call(link, call, lean.now_s())
+        await asyncio.sleep(0.5)
+        assert leader.replica.evacuated == {"a"}
+        await site.stop()
+
+    asyncio.run(play())
+
+
+def test_leader_of_the_version_before_is_given_no_order(site):
+    """It would take the order for a read and answer yes."""
+
+    async def play():
+        await founded(site)
+        await site.until(site.leader)
+        leader = site.leader()
+        take = leader._take_call
+
+        def take_as_before(link, call, now_s):
+            for field in ("order", "latest", "asks_time"):
+                call.ClearField(field)
+            take(link, call, now_s)
+
+        leader._take_call = take_as_before
+        other = next(c for c in site.controls.values() if c is not leader)
+        assert (await other.call(None)).reply.outcome == control_pb2.SUBMIT_OUTCOME_YES
+        assert await other.order(control_pb2.ZoneOrder(zone="a", is_evacuated=True)) is None
+        await site.stop()
+
+    asyncio.run(play())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -262,6 +262,9 @@
     assert (control.voter_count, control.may_bootstrap) == (5, True)
     assert (entry.packets, entry.ready) == (("10.1.0.12", 1), ("10.1.0.12", 2))
     assert entry.link_bytes_per_s == 250_000
+    assert control.zones == ()
+    path.write_text(json.dumps({**SETTINGS, "zones": {"b": "east", "a": "east"}}))
+    assert settings.load_control().zones == ("a", "b")
 
 
 @pytest.mark.parametrize("missing", ["ip", "bounds", "seed_nodes", "internal_port_range"])
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -31,7 +31,9 @@
     )
 
 
-def update(*targets, number=0, content=None, silent=(), is_current=True, is_complete=True):
+def update(
+    *targets, number=0, content=None, silent=(), is_current=True, is_complete=True, **places
+):
     observations = [
         feed.Observation(target=t, age_s=0.0, is_silent=t.identity in silent) for t in targets
     ]
@@ -42,6 +44,7 @@
         content=content,
         is_current=is_current,
         is_complete=is_complete,
+        **places,
     )
 
 
@@ -469,3 +472,82 @@
 def test_rules_are_found_by_packed_address_and_port():
     vm = Vm(target(1))
     assert vm.view.rules.find(packets.TCP, LEDGER[:4], LEDGER[4:]).service == "ledger"
+
+
+def evacuate(vm, *zones):
+    vm.apply_update(
+        number=1, places_revision=vm.view.places_revision + 1, evacuated_zones=tuple(zones)
+    )
+
+
+def test_targets_of_an_evacuated_zone_get_no_openings_and_keep_their_flows():
+    vm = Vm(target(1, zone="a"), target(2, zone="b"))
+    first = next(n for n in range(99) if vm.open(flow(n)).identity == "i-1")
+    evacuate(vm, "a")
+    assert {vm.open(flow(n)).identity for n in range(100, 200)} == {"i-2"}
+    assert vm.packet(flow(first), steering.Kind.DATA, target(1).token).identity == "i-1"
+    assert Vm(target(1)).packet(flow(1), steering.Kind.DATA, target(1).token).identity == "i-1"
+    assert vm.core.counters.events["openings_kept_off_zone"] == 100
+    evacuate(vm)
+    assert "i-1" in {vm.open(flow(n)).identity for n in range(200, 300)}
+
+
+def test_target_that_starts_in_an_evacuated_zone_gets_no_openings():
+    vm = Vm(target(2, zone="b"))
+    evacuate(vm, "a")
+    vm.apply_update(target(1, zone="a"), number=1)
+    assert {vm.open(flow(n)).identity for n in range(50)} == {"i-2"}
+
+
+def test_service_with_targets_in_evacuated_zones_alone_is_refused_at_once():
+    vm = Vm(target(1, zone="a"))
+    evacuate(vm, "a")
+    assert vm.packet(flow(1)) is steering.REFUSED_EVACUATED
+    assert steering.REFUSED_EVACUATED in steering.REFUSALS
+    assert vm.packet(flow(2), route=ARCHIVE) is steering.REFUSED_NO_TARGET
+
+
+def test_queued_openings_are_refused_when_the_last_zone_is_evacuated():
+    vm = Vm(target(1, zone="a", slot_count=1))
+    queued = next(n for n in range(50) if vm.packet(flow(n)) is steering.WAITING)
+    evacuate(vm, "a")
+    assert vm.core.take_released(vm.now_s) == []
+    rejected = vm.core.take_rejected()
+    assert flow(queued) in [packet.flow for packet, _ in rejected]
+    assert {reason for _, reason in rejected} == {steering.REFUSED_EVACUATED}
+
+
+def test_remaining_zones_without_a_free_place_do_not_open_the_evacuated_one():
+    vm = Vm(target(1, zone="a"), target(2, zone="b", slot_count=1))
+    evacuate(vm, "a")
+    found = [vm.packet(flow(n)) for n in range(50)]
+    assert steering.WAITING in found
+    assert all(getattr(f, "identity", "i-2") == "i-2" for f in found)
+
+
+@pytest.mark.parametrize("after_s", [0.01, 0.2])
+def test_repeated_opening_is_kept_off_a_zone_that_was_evacuated_meanwhile(after_s):
+    vm = Vm(target(1, zone="a"), target(2, zone="b"))
+    keys = [flow(n) for n in range(50)]
+    first = [key for key in keys if vm.packet(key).identity == "i-1"]
+    evacuate(vm, "a")
+    vm.now_s += after_s
+    assert {vm.packet(key, retransmit_count=1).identity for key in first} == {"i-2"}
+    evacuate(vm, "a", "b")
+    vm.now_s += after_s
+    assert vm.packet(first[0], retransmit_count=2) is steering.REFUSED_EVACUATED
+    evacuate(vm, "b")
+    assert vm.packet(first[0], retransmit_count=2).identity == "i-1"
+
+
+def test_flow_that_its_first_target_answered_is_not_opened_a_second_time():
+    vm = Vm(target(1, zone="a"), target(2, zone="b", slot_count=1))
+    keys = [flow(n) for n in range(50)]
+    first = [key for key in keys if vm.packet(key).identity == "i-1"]
+    evacuate(vm, "a")
+    while (key := first.pop()) and vm.packet(key, retransmit_count=1) is not steering.WAITING:
+        pass
+    sent = vm.packet(key, steering.Kind.DATA, target(1).token, sequence=1, has_payload=True)
+    assert sent.identity == "i-1"
+    vm.run(0.5)
+    assert key not in [packet.flow for packet, _ in vm.core.take_released(vm.now_s)]
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -5,7 +5,7 @@
 import pytest
 from test_steering import Vm, target
 
-from zinniaspoke import feed, siblings, subscription
+from zinniaspoke import events, feed, siblings, subscription
 
 
 def make(*seeds, now_s=0.0):
@@ -122,3 +122,56 @@
     view.apply_update("c1:1", feed.Update(controls=names, is_current=True), 0.0)
     view.connection_lost("c1:1")
     assert set(view.select_control_vms(0.5)) == set(names)
+
+
+RULES = {"number": 1, "content": b"10.9.0.1:443 tcp ledger # t: t"}
+
+
+def places(revision, *zones, returned=(), is_current=True):
+    return feed.Update(
+        is_current=is_current,
+        places_revision=revision,
+        evacuated_zones=zones,
+        returned_zones=returned,
+    )
+
+
+def test_evacuated_zones_follow_the_highest_revision_only():
+    view = make("c1:1", "c2:1")
+    view.apply_update("c1:1", places(2, "a", "b"), 1.0)
+    assert (view.evacuated_zones, view.places_revision) == ({"a", "b"}, 2)
+    revision = view.revision
+    view.apply_update("c2:1", places(1, "a"), 1.1)
+    view.apply_update("c2:1", feed.Update(is_current=True), 1.2)
+    assert (view.evacuated_zones, view.revision) == ({"a", "b"}, revision)
+    view.apply_update("c2:1", places(3, "b"), 2.0)
+    assert view.evacuated_zones == {"b"}
+    assert view.revision > revision
+    changes = [(e, peer) for e, peer, _ in view.pending_events if e.number in (211, 212)]
+    evacuated, returned = events.ZONE_EVACUATED, events.ZONE_RETURNED
+    assert changes == [(evacuated, "a"), (evacuated, "b"), (returned, "a")]
+
+
+def test_end_of_an_evacuation_is_dated_at_the_latest_estimate():
+    view = make("c1:1")
+    view.apply_update("c1:1", places(1, "a", "b", "c"), 10.0)
+    view.apply_update("c1:1", places(2, "b", returned=(("a", 1.5), ("d", 4.0))), 20.0)
+    # c is not listed: a control VM that restarted does not know since when.
+    assert view.returned_s == {"a": 18.5, "c": 20.0, "d": 16.0}
+    view.apply_update("c1:1", places(3, "a", "b", returned=(("d", 1.0),)), 21.0)
+    assert view.returned_s == {"c": 20.0, "d": 20.0}
+
+
+def test_not_ready_while_the_evacuated_zones_of_a_current_control_vm_are_not_known():
+    vm = Vm()
+    vm.apply_update(target(1), places_revision=4, **RULES)
+    assert not vm.view.is_ready(vm.now_s)
+    vm.apply_update(places_revision=4, evacuated_zones=("a",), number=1)
+    assert vm.view.is_ready(vm.now_s)
+
+
+def test_cut_off_zone_becomes_ready_without_confirmed_evacuations_after_the_timeout():
+    vm = Vm()
+    vm.apply_update(target(1), places_revision=4, is_current=False, **RULES)
+    assert not vm.view.is_ready(vm.now_s)
+    assert vm.view.is_ready(vm.now_s + subscription.CONFIRMATION_TIMEOUT_S + 0.1)
--- a/zinniaspoke/adapters/replica_thread.py
+++ b/zinniaspoke/adapters/replica_thread.py
@@ -113,21 +113,26 @@
         self._inbox.put(handle)
         return True
 
-    def enter(self, file: control_pb2.RuleFile | None, owner: object) -> None:
-        """Submits a rule file, or reads the one in force.
+    def enter(
+        self, command: control.Command | None, owner: object, latest_s: float | None = None
+    ) -> None:
+        """Submits a rule file, proposes a zone order, or reads the rules in force.
 
         Args:
-            file: The file, or None to read.
+            command: The file or order, or None to read.
             owner: Stands in ``Output.entered`` or ``Output.refused``.
+            latest_s: An order is not proposed later, however long the disk stalls.
         """
 
         def handle(core: control.Control) -> None:
             now_s = self._clock()
             try:
-                if file is None:
+                if command is None:
                     ticket = core.read(now_s)
+                elif isinstance(command, control_pb2.ZoneOrder):
+                    ticket = core.order(command, now_s, latest_s)
                 else:
-                    ticket = core.submit(file.number, file.content, now_s, file.source)
+                    ticket = core.submit(command.number, command.content, now_s, command.source)
             except errors.StorageError:
                 self._refused.append(owner)
                 raise
--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -7,13 +7,16 @@
 
 import enum
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
 from zinniaspoke import errors, joining, log, voters
 from zinniaspoke.proto import control_pb2
 
+# Version of the format of messages and entries. Version 1 knows zone orders; a replica of version 0
+# skips them and leaves them out of its snapshots.
+VERSION = 1
 HEARTBEAT_S = 0.1
 ELECTION_TIMEOUT_MIN_S = 0.5
 ELECTION_TIMEOUT_MAX_S = 1.0
@@ -106,6 +109,8 @@
         committed_entries: Committed entries; the state machine applies and clears them.
         confirmed_reads: Tickets of confirmed reads; the caller clears them.
         installed_snapshot: Snapshot that the state machine has to load, or None.
+        min_version: Replicas of a lower version are not admitted.
+        refused_joins: Version of each replica that was not admitted; the caller clears them.
     """
 
     def __init__(
@@ -149,6 +154,10 @@
         self.committed_entries: list[control_pb2.LogEntry] = []
         self.confirmed_reads: list[int] = []
         self.installed_snapshot: control_pb2.Snapshot | None = None
+        self.min_version = 0
+        self.refused_joins: dict[str, int] = {}
+        # By sender, the version of its last message; a leader's are those of its own term.
+        self._versions: dict[str, int] = {}
         self._applied_index = self.commit_index
         self._votes: set[str] = set()
         self._is_pre_vote = False
@@ -254,7 +263,11 @@
     def _send(self, recipient: str, **body: object) -> None:
         self.messages.append(
             control_pb2.ReplicaMessage(
-                sender=self.member, recipient=recipient, term=self.term, **body
+                sender=self.member,
+                recipient=recipient,
+                term=self.term,
+                version=VERSION,
+                **body,
             )
         )
 
@@ -280,7 +293,10 @@
         if message.sender in known:
             self._send_initial_snapshot(message.sender)
         if self.role is Role.LEADER and message.sender not in known:
-            self.discovery.record_join_request(message.sender, now_s)
+            if message.version >= self.min_version:
+                self.discovery.record_join_request(message.sender, now_s)
+            else:
+                self.refused_joins[message.sender] = message.version
         reply = control_pb2.JoinReply(
             is_empty=self._log.is_empty, member_names=sorted({name_of(m) for m in known})
         )
@@ -312,13 +328,33 @@
         others = self.discovery.other_initial_voters() if self._log.is_empty else None
         if others is None:
             return
-        snapshot = control_pb2.Snapshot(
-            last_index=1, replica_set=control_pb2.ReplicaSet(voters=sorted([self.member, *others]))
+        replica_set = control_pb2.ReplicaSet(
+            voters=sorted([self.member, *others]), version=self._lowest_version(others, VERSION)
         )
+        snapshot = control_pb2.Snapshot(last_index=1, replica_set=replica_set)
         self._install_snapshot(snapshot)
         for member in self._other_members():
             self._send_initial_snapshot(member)
 
+    def _lowest_version(self, members: Iterable[str], unheard: int) -> int:
+        """Returns the lowest version of some members, with a value for those not heard yet."""
+        return min([VERSION, *(self._versions.get(member, unheard) for member in members)])
+
+    def outdated_member(self, version: int) -> str | None:
+        """Returns a member that may not know a version of the format, or None.
+
+        A member that this leader has not heard in its term is taken to have the version that the
+        replica set names: it may be off for long.
+
+        Args:
+            version: The version.
+        """
+        unheard = self._replica_set.version
+        for member in self._other_members():
+            if self._versions.get(member, unheard) < version:
+                return member
+        return None
+
     def _install_snapshot(self, snapshot: control_pb2.Snapshot) -> None:
         self._log.install_snapshot(snapshot)
         self.installed_snapshot = snapshot
@@ -428,6 +464,7 @@
         self._has_seen_leader = True
         self.leader = self._name
         self._progress = {}
+        self._versions = {}
         self._pending_reads = []
         self._transferee = ""
         self._round = 0
@@ -494,22 +531,26 @@
         self._advance_commit(now_s)
         return entry.index
 
-    def propose(self, file: control_pb2.RuleFile, now_s: float) -> int | errors.Nothing:
-        """Appends a rule file to the log, to be replicated and committed.
+    def propose(
+        self, command: control_pb2.RuleFile | control_pb2.ZoneOrder, now_s: float
+    ) -> int | errors.Nothing:
+        """Appends a rule file or a zone order to the log, to be replicated and committed.
 
         Args:
-            file: The rule file.
+            command: The rule file or order.
             now_s: Current time.
 
         Returns:
-            The index of the new entry, or the reason why the rule file was not appended.
+            The index of the new entry, or the reason why nothing was appended.
         """
         if self.role is not Role.LEADER:
             return errors.Nothing(reason="not_leader")
         if self._transferee:
             # A leadership transfer is in progress. Operators see the reason in ``SubmitReply``.
             return errors.Nothing(reason="leadership_is_given_away")
-        return self._append(control_pb2.LogEntry(rule_file=file), now_s)
+        if isinstance(command, control_pb2.ZoneOrder):
+            return self._append(control_pb2.LogEntry(zone_order=command), now_s)
+        return self._append(control_pb2.LogEntry(rule_file=command), now_s)
 
     def read(self, ticket: int, now_s: float) -> bool:
         """Starts a linearizable read: a heartbeat round that confirms this replica as the leader.
@@ -596,10 +637,18 @@
             member: self._health(progress, now_s) for member, progress in self._progress.items()
         }
         changed = self._planner.next_change(current, health, self.discovery.pending_joins(now_s))
-        if changed is not None:
-            replica_set = control_pb2.ReplicaSet(voters=changed.voters, learners=changed.learners)
+        version = self._version_of(changed or current)
+        if changed is not None or version > self._replica_set.version:
+            members = changed or current
+            replica_set = control_pb2.ReplicaSet(
+                voters=members.voters, learners=members.learners, version=version
+            )
             self._append(control_pb2.LogEntry(replica_set=replica_set), now_s)
 
+    def _version_of(self, members: voters.ReplicaSet) -> int:
+        others = {*members.voters, *members.learners} - {self.member}
+        return self._lowest_version(others, self._replica_set.version)
+
     def _health(self, progress: Progress, now_s: float) -> voters.MemberHealth:
         silent_s = now_s - progress.last_reply_s
         return voters.MemberHealth(
@@ -623,6 +672,7 @@
         field = message.WhichOneof("body")
         if field is None:
             return
+        self._versions[message.sender] = message.version
         if field in ("join_request", "join_reply"):
             _MESSAGE_HANDLERS[field](self, message, now_s)
             return
--- a/zinniaspoke/control.py
+++ b/zinniaspoke/control.py
@@ -1,13 +1,16 @@
-"""Core of a control VM: takes submitted rule files, returns answers and Raft messages."""
+"""Core of a control VM: takes rule files and zone orders, returns answers and Raft messages."""
 
 import random
 
 import attrs
 
-from zinniaspoke import consensus, errors, events, log, rules, submissions
+from zinniaspoke import consensus, errors, evacuations, events, log, rules, submissions
 from zinniaspoke.proto import control_pb2
 
 SUBMIT_TIMEOUT_S = 5.0
+# The version of the replicas' format that knows zone orders.
+ORDERS_VERSION = 1
+Command = control_pb2.RuleFile | control_pb2.ZoneOrder
 
 
 @attrs.frozen(kw_only=True)
@@ -51,6 +54,8 @@
         is_voter: Whether it is a voter.
         has_leader: Whether it led with a majority, or had heard from such a leader.
         rules: The newest accepted rule file.
+        evacuated: The evacuated zones.
+        places_revision: Number of orders that changed them.
         voters: The voters, as NAME/IDENTITY.
         learners: The learners, as NAME/IDENTITY.
     """
@@ -63,6 +68,8 @@
     is_voter: bool = False
     has_leader: bool = False
     rules: control_pb2.RuleFile = attrs.field(factory=control_pb2.RuleFile)
+    evacuated: frozenset[str] = frozenset()
+    places_revision: int = 0
     voters: tuple[str, ...] = ()
     learners: tuple[str, ...] = ()
 
@@ -81,19 +88,19 @@
 
 @attrs.define(kw_only=True, slots=True)
 class _Request:
-    """A pending submission or read.
+    """A pending submission, order or read.
 
     Attributes:
         ticket: Number that identifies the request.
-        file: The submitted rule file; None for a read.
+        command: The submitted rule file or the order; None for a read.
         deadline_s: Time at which a pending request is answered with "unknown".
-        index: Log index at which the file was proposed; 0 before that.
+        index: Log index at which the command was proposed; 0 before that.
         term: Term in which it was proposed.
         is_confirming: Whether a read confirmation by a majority is pending.
     """
 
     ticket: int
-    file: control_pb2.RuleFile | None
+    command: Command | None
     deadline_s: float
     index: int = 0
     term: int = 0
@@ -135,6 +142,9 @@
         )
         self.history = submissions.RuleHistory(numbering=numbering)
         self.history.load(entries.snapshot)
+        self.evacuations = evacuations.Evacuations()
+        self.evacuations.load(entries.snapshot)
+        self._logged_joins: set[str] = set()
         self._pending: list[_Request] = []
         self._next_ticket = 0
         self._answers: list[Answer] = []
@@ -161,9 +171,11 @@
         taken, self._notices = self._notices, []
         return taken
 
-    def _new_request(self, file: control_pb2.RuleFile | None, now_s: float) -> _Request:
+    def _new_request(self, command: Command | None, now_s: float) -> _Request:
         self._next_ticket += 1
-        return _Request(ticket=self._next_ticket, file=file, deadline_s=now_s + SUBMIT_TIMEOUT_S)
+        return _Request(
+            ticket=self._next_ticket, command=command, deadline_s=now_s + SUBMIT_TIMEOUT_S
+        )
 
     def read(self, now_s: float) -> int:
         """Requests confirmation by a majority that ``history.current`` is up to date.
@@ -202,6 +214,38 @@
         self._advance(now_s)
         return request.ticket
 
+    def order(
+        self, order: control_pb2.ZoneOrder, now_s: float, latest_s: float | None = None
+    ) -> int:
+        """Proposes a zone order at once, also one that would change nothing.
+
+        An earlier opposite order may be in the log without being committed, so the state in force
+        can't answer it.
+
+        Args:
+            order: The order.
+            now_s: Current time.
+            latest_s: When its caller stops waiting: it must not be proposed after that, since the
+                opposite order may have been acknowledged by then. None where the caller waits.
+
+        Returns:
+            The ticket of the answer.
+        """
+        request = self._new_request(order, now_s)
+        unknown = control_pb2.SUBMIT_OUTCOME_UNKNOWN
+        if latest_s is not None and now_s > latest_s:
+            self._answer(request, unknown, "the order arrived too late")
+            return request.ticket
+        outdated = self.replica.outdated_member(ORDERS_VERSION)
+        if self.replica.role is consensus.Role.LEADER and outdated is not None:
+            reason = f"{outdated} may run a version that does not know zone orders"
+            self._answer(request, unknown, reason)
+            return request.ticket
+        if self._propose(request, now_s):
+            self._pending.append(request)
+        self._advance(now_s)
+        return request.ticket
+
     def _answer(self, request: _Request, outcome: int, reason: str) -> None:
         reply = control_pb2.SubmitReply(
             outcome=outcome,
@@ -212,11 +256,15 @@
         self._answers.append(Answer(ticket=request.ticket, reply=reply))
         if request in self._pending:
             self._pending.remove(request)
-        if outcome == control_pb2.SUBMIT_OUTCOME_NOT_LEADER or request.file is None:
+        if outcome == control_pb2.SUBMIT_OUTCOME_NOT_LEADER or request.command is None:
             return
         is_yes = outcome == control_pb2.SUBMIT_OUTCOME_YES
+        if isinstance(request.command, control_pb2.ZoneOrder):
+            event = events.ZONE_ORDER_ACCEPTED if is_yes else events.ZONE_ORDER_REJECTED
+            self._note(event, request.command.zone, reason)
+            return
         event = events.RULE_FILE_ACCEPTED if is_yes else events.RULE_FILE_REJECTED
-        self._note(event, f"rule file {request.file.number}", reason)
+        self._note(event, f"rule file {request.command.number}", reason)
 
     def receive(self, message: control_pb2.ReplicaMessage, now_s: float) -> None:
         """Handles a message from another replica.
@@ -246,18 +294,42 @@
         self._apply()
         self._advance_requests(now_s)
         self._apply()
-        self.replica.compact(self.history.save)
+        self.replica.compact(self._save)
+        self.replica.min_version = ORDERS_VERSION if self.evacuations.revision else 0
+        self._log_refused_joins()
         if self.replica.role is not self._role:
             self._role = self.replica.role
             self._note(events.REPLICA_ROLE, self.replica.member, self._role.value)
 
+    def _save(self, snapshot: control_pb2.Snapshot) -> None:
+        self.history.save(snapshot)
+        self.evacuations.save(snapshot)
+
+    def _log_refused_joins(self) -> None:
+        for member, version in self.replica.refused_joins.items():
+            if member not in self._logged_joins:
+                detail = f"version {version} of the format does not know zone orders"
+                self._note(events.REPLICA_REFUSED, member, detail)
+        self._logged_joins |= self.replica.refused_joins.keys()
+        self.replica.refused_joins = {}
+
     def _load_installed_snapshot(self) -> None:
         snapshot = self.replica.installed_snapshot
         if snapshot is None:
             return
         self.replica.installed_snapshot = None
         self._check_rule_number(snapshot.rule_file.number)
+        self._check_places_revision(snapshot.places_revision)
         self.history.load(snapshot)
+        self.evacuations.load(snapshot)
+
+    def _check_places_revision(self, revision: int) -> None:
+        if revision < self.evacuations.revision:
+            own = self.evacuations.revision
+            reason = f"snapshot holds {revision} changes of evacuated zones, fewer than {own}"
+            raise errors.InvariantError(
+                step="load snapshot", peer=self.replica.member, reason=reason
+            )
 
     def _check_rule_number(self, number: int) -> None:
         if number < self.history.number:
@@ -269,9 +341,13 @@
     def _apply(self) -> None:
         entries, self.replica.committed_entries = self.replica.committed_entries, []
         for entry in entries:
-            if entry.WhichOneof("command") != "rule_file":
+            kind = entry.WhichOneof("command")
+            if kind == "rule_file":
+                decision = self.history.apply(entry.rule_file)
+            elif kind == "zone_order":
+                decision = self.evacuations.apply(entry.zone_order)
+            else:
                 continue
-            decision = self.history.apply(entry.rule_file)
             for request in [r for r in self._pending if r.index == entry.index]:
                 self._answer_committed(request, entry, decision)
 
@@ -279,33 +355,40 @@
         self,
         request: _Request,
         entry: control_pb2.LogEntry,
-        decision: submissions.Decision,
+        decision: submissions.Decision | evacuations.Decision,
     ) -> None:
         if request.term != entry.term:
             self._answer(request, control_pb2.SUBMIT_OUTCOME_UNKNOWN, "the leader changed")
             return
         self._answer_decision(request, decision)
 
-    def _answer_decision(self, request: _Request, decision: submissions.Decision) -> None:
+    def _answer_decision(
+        self, request: _Request, decision: submissions.Decision | evacuations.Decision
+    ) -> None:
         yes, no = control_pb2.SUBMIT_OUTCOME_YES, control_pb2.SUBMIT_OUTCOME_NO
         self._answer(request, yes if decision.is_yes else no, decision.reason)
 
     def _advance_requests(self, now_s: float) -> None:
         self._finish_reads()
-        is_proposing = any(r.index for r in self._pending)
+        is_proposing = any(
+            r.index and isinstance(r.command, control_pb2.RuleFile) for r in self._pending
+        )
         for request in list(self._pending):
             if request.index or request.is_confirming:
                 self._fail_unless_leader(request)
                 continue
-            if request.file is None:
+            if request.command is None:
                 self._start_read(request, now_s)
                 continue
-            decision = self.history.evaluate(request.file.number, request.file.content)
+            decision = self._evaluate(request)
             if decision.verdict is not submissions.Verdict.ACCEPTED:
                 self._start_read(request, now_s)
             elif not is_proposing:
                 is_proposing = self._propose(request, now_s)
 
+    def _evaluate(self, request: _Request) -> submissions.Decision:
+        return self.history.evaluate(request.command.number, request.command.content)
+
     def _fail_unless_leader(self, request: _Request) -> None:
         if self.replica.role is not consensus.Role.LEADER:
             reason = "the leader changed"
@@ -313,7 +396,7 @@
 
     def _propose(self, request: _Request, now_s: float) -> bool:
         request.term = self.replica.term
-        index = self.replica.propose(request.file, now_s)
+        index = self.replica.propose(request.command, now_s)
         if isinstance(index, errors.Nothing):
             self._answer(request, control_pb2.SUBMIT_OUTCOME_NOT_LEADER, index.reason)
             return False
@@ -335,10 +418,10 @@
         tickets, self.replica.confirmed_reads = self.replica.confirmed_reads, []
         for request in [r for r in self._pending if r.ticket in tickets]:
             request.is_confirming = False
-            if request.file is None:
+            if request.command is None:
                 self._answer(request, control_pb2.SUBMIT_OUTCOME_YES, "confirmed")
                 continue
-            decision = self.history.evaluate(request.file.number, request.file.content)
+            decision = self._evaluate(request)
             if decision.verdict is not submissions.Verdict.ACCEPTED:
                 self._answer_decision(request, decision)
 
@@ -358,6 +441,8 @@
             is_voter=replica.is_voter,
             has_leader=replica.has_leader(now_s),
             rules=self.history.current,
+            evacuated=self.evacuations.zones,
+            places_revision=self.evacuations.revision,
             voters=tuple(replica.replica_set.voters),
             learners=tuple(replica.replica_set.learners),
         )
@@ -373,4 +458,6 @@
             last_index=self.replica.last_index,
             rule_number=self.history.number,
             replica_set=self.replica.replica_set,
+            evacuated_zones=sorted(self.evacuations.zones),
+            places_revision=self.evacuations.revision,
         )
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -14,6 +14,8 @@
 # After a start, the roster counts as complete after this many announcement intervals: every
 # running target has announced itself by then.
 COMPLETE_AFTER_INTERVALS = 2
+# Subscribers hear of the end of an evacuation for this long: returning targets may be cold.
+RETURN_KEEP_S = 10.0
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -29,6 +31,7 @@
         state: Rotation state that the entry VM last sent.
         siblings_revision: Revision of the zone's entry VMs that was last sent; 0 before the first.
         controls: Names of control VMs that were last sent.
+        places_revision: Revision of the evacuated zones that the subscriber holds.
     """
 
     roster_revision: int = 0
@@ -39,6 +42,7 @@
     state: siblings.State = siblings.State.STARTING
     siblings_revision: int = 0
     controls: tuple[str, ...] = ()
+    places_revision: int = 0
 
     @property
     def follows_siblings(self) -> bool:
@@ -82,6 +86,8 @@
         self.name = name
         self.seeds = seeds
         self.replica = control.View()
+        self._evacuated: frozenset[str] = frozenset()
+        self._returned_s: dict[str, float] = {}
         self.targets = targets
         self._complete_at_s = now_s + COMPLETE_AFTER_INTERVALS * announcement_interval_s
         self._is_complete = False
@@ -225,6 +231,28 @@
         """Returns the names of all known control VMs, this one included."""
         return tuple(sorted({self.name, *self.seeds, *self.replica.member_names()}))
 
+    def take_view(self, view: control.View, now_s: float) -> None:
+        """Takes what this VM's replica published.
+
+        Args:
+            view: Its state.
+            now_s: Current time.
+        """
+        self.replica = view
+        if view.evacuated == self._evacuated:
+            return
+        self._returned_s.update(dict.fromkeys(self._evacuated - view.evacuated, now_s))
+        for zone in view.evacuated:
+            self._returned_s.pop(zone, None)
+        self._evacuated = view.evacuated
+
+    def _returned_zones(self, now_s: float) -> tuple[tuple[str, float], ...]:
+        return tuple(
+            (zone, round(now_s - since_s, 2))
+            for zone, since_s in sorted(self._returned_s.items())
+            if now_s - since_s < RETURN_KEEP_S
+        )
+
     def update_for(self, subscriber: Subscriber, now_s: float) -> feed.Update | None:
         """Returns the update to send to a subscriber, or None if there is nothing to send.
 
@@ -241,6 +269,7 @@
         has_changed = (
             subscriber.roster_revision < self.targets.revision
             or subscriber.rule_number < rules.number
+            or subscriber.places_revision < self.replica.places_revision
             or has_new_siblings
         )
         if not has_changed and now_s - subscriber.sent_s < HEARTBEAT_INTERVAL_S:
@@ -252,6 +281,9 @@
         subscriber.sent_s = now_s
         has_new_controls = subscriber.controls != controls
         subscriber.controls = controls
+        has_new_places = subscriber.places_revision < self.replica.places_revision
+        if has_new_places:
+            subscriber.places_revision = self.replica.places_revision
         entry_vms = None
         if has_new_siblings:
             entry_vms = self.entry_vms.changed_since(subscriber.zone, subscriber.siblings_revision)
@@ -264,6 +296,9 @@
             is_current=self.replica.is_current(now_s),
             is_complete=self.is_complete(now_s),
             entry_vms=entry_vms,
+            places_revision=self.replica.places_revision,
+            evacuated_zones=tuple(sorted(self.replica.evacuated)) if has_new_places else None,
+            returned_zones=self._returned_zones(now_s) if has_new_places else (),
         )
 
     def tick(self, now_s: float) -> None:
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -295,6 +295,8 @@
             "targets": len(self.view.targets),
             "flow_records": len(self.steering),
             "is_ready": float(self._is_ready),
+            "places_revision": self.view.places_revision,
+            "evacuated_zones": len(self.view.evacuated_zones),
         }
         if self._pacer is not None:
             gauges["link_queued_bytes"] = self._pacer.queued_bytes
@@ -318,6 +320,7 @@
             "entry": self.config.name,
             "zone": self.config.zone,
             "number": self.view.rules.number,
+            "places_revision": self.view.places_revision,
             "state": int(self._state),
         }
         link.send(links.Kind.HELLO, json.dumps(hello).encode())
--- a/zinniaspoke/errors.py
+++ b/zinniaspoke/errors.py
@@ -37,6 +37,10 @@
     """A rule file that cannot be accepted; ``reason`` names every wrong line."""
 
 
+class ZoneError(Error):
+    """An order about a zone that there is not, or whose name is malformed."""
+
+
 class AnnouncementError(Error):
     """An announcement of a target that cannot be taken."""
 
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -44,6 +44,8 @@
     209, "zone_suspected", "No target of an availability zone answers; it gets no new flows."
 )
 ZONE_ANSWERS = _define(210, "zone_answers", "A target of a suspected availability zone answers.")
+ZONE_EVACUATED = _define(211, "zone_evacuated", "Targets of a zone get no new flows, as ordered.")
+ZONE_RETURNED = _define(212, "zone_returned", "An evacuated zone's targets get new flows again.")
 RULES_IN_FORCE = _define(301, "rules_in_force", "A rule file is in force on this VM.")
 RULES_REFUSED = _define(302, "rules_refused", "A rule file that arrived was not taken.")
 RULES_UNREACHABLE = _define(303, "rules_unreachable", "No control replica answered a poll.")
@@ -67,6 +69,9 @@
 CALL_ANSWERED = _define(505, "call_answered", "An operator's call was answered.")
 DISK_FAILED = _define(506, "disk_failed", "The disk refused a write; this replica does not count.")
 SET_CHANGED = _define(507, "set_changed", "The set of replicas that agree has changed.")
+REPLICA_REFUSED = _define(508, "replica_refused", "A replica of an older version may not join.")
+ZONE_ORDER_ACCEPTED = _define(509, "zone_order_accepted", "A zone order was committed.")
+ZONE_ORDER_REJECTED = _define(510, "zone_order_rejected", "A zone order got no yes.")
 FLOW_OPENED = _define(404, "flow_opened", "An opening was sent on, with what decided it.")
 FLOW_DROPPED = _define(405, "flow_dropped", "A packet was dropped, since its target is not known.")
 FLOW_WAITS = _define(406, "flow_waits", "An opening waits until a target has a free place.")
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -41,6 +41,10 @@
         is_current: Whether the sender leads with a majority or has recently heard from a leader.
         is_complete: Whether the sender's roster is complete.
         entry_vms: Entry VMs of the receiver's zone whose state has changed; None for none.
+        places_revision: Number of orders that changed the evacuated zones; 0 if there was none.
+        evacuated_zones: The evacuated zones; None if the receiver holds this revision.
+        returned_zones: Zones whose evacuation ended lately, with the seconds since; sent with
+            ``evacuated_zones``.
     """
 
     observations: tuple[Observation, ...] = ()
@@ -50,6 +54,9 @@
     is_current: bool = False
     is_complete: bool = False
     entry_vms: tuple[siblings.Sibling, ...] | None = None
+    places_revision: int = 0
+    evacuated_zones: tuple[str, ...] | None = None
+    returned_zones: tuple[tuple[str, float], ...] = ()
 
 
 def to_observation(entry: roster.Entry, now_s: float) -> Observation:
@@ -147,6 +154,12 @@
         body["entry_vms"] = [
             [s.name, int(s.state), round(max(0.0, now_s - s.since_s), 3)] for s in update.entry_vms
         ]
+    if update.places_revision:
+        body["places_revision"] = update.places_revision
+    if update.evacuated_zones is not None:
+        body["evacuated_zones"] = update.evacuated_zones
+        if update.returned_zones:
+            body["returned_zones"] = update.returned_zones
     if update.content is not None:
         body["content"] = _compress_rules(update.content)
     return json.dumps(body, separators=(",", ":")).encode()
@@ -166,6 +179,7 @@
     try:
         body = json.loads(data)
         content = body.get("content")
+        evacuated_zones = body.get("evacuated_zones")
         return Update(
             observations=tuple(_decode_observation(row, now_s) for row in body["targets"]),
             controls=tuple(str(name) for name in body["controls"]),
@@ -174,6 +188,13 @@
             is_current=bool(body["is_current"]),
             is_complete=bool(body["is_complete"]),
             entry_vms=_decode_siblings(body.get("entry_vms"), now_s),
+            places_revision=int(body.get("places_revision", 0)),
+            evacuated_zones=(
+                None if evacuated_zones is None else tuple(str(zone) for zone in evacuated_zones)
+            ),
+            returned_zones=tuple(
+                (str(zone), float(age_s)) for zone, age_s in body.get("returned_zones", ())
+            ),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         reason = f"{type(error).__name__}: {error}"
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -60,6 +60,7 @@
         may_bootstrap: Whether this is the very first start.
         lost_disk_count: Disks that may be lost at once.
         numbering: Which rule numbers are accepted.
+        zones: The deployment's zones, which orders may name; empty for any well-formed name.
     """
 
     data_folder: str
@@ -67,6 +68,7 @@
     may_bootstrap: bool
     lost_disk_count: int
     numbering: str
+    zones: tuple[str, ...] = ()
 
     @property
     def voter_count(self) -> int:
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -50,6 +50,8 @@
 
 REFUSED_NO_ROUTE = errors.Nothing(reason="refused_no_route")
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
+# Only targets in evacuated zones are left.
+REFUSED_EVACUATED = errors.Nothing(reason="refused_evacuated")
 DROPPED_UNKNOWN_TOKEN = errors.Nothing(reason="dropped_unknown_token")
 DROPPED_NOT_READY = errors.Nothing(reason="dropped_not_ready")
 DROPPED_NOT_FRESH = errors.Nothing(reason="dropped_not_fresh")
@@ -57,7 +59,12 @@
 DROPPED_RULES_CHANGED = errors.Nothing(reason="dropped_rules_changed")
 # Ends an open flow without promising anything about its request.
 RESET_UNRESPONSIVE = errors.Nothing(reason="reset_unresponsive_target")
-REFUSALS = (REFUSED_NO_ROUTE, REFUSED_NO_TARGET, backlog.REFUSED_TOO_MANY_WAITING)
+REFUSALS = (
+    REFUSED_NO_ROUTE,
+    REFUSED_NO_TARGET,
+    REFUSED_EVACUATED,
+    backlog.REFUSED_TOO_MANY_WAITING,
+)
 NO_CAPACITY = errors.Nothing(reason="no_place")
 # Not final: the opening is queued and forwarded later.
 WAITING = errors.Nothing(reason="waiting_for_place")
@@ -130,6 +137,8 @@
         self._zones = collections.defaultdict[str, zones.ZoneHealth](zones.ZoneHealth)
         self._target_by_token: dict[int, roster.Target] = {}
         self._ready_by_service: dict[str, list[choosing.Load]] = {}
+        # Services with a ready target in an evacuated zone.
+        self._evacuated_services: set[str] = set()
         self._backlogs = collections.defaultdict(backlog.Backlog)
         self._rejected: list[tuple[Packet, errors.Nothing]] = []
         # Openings that count as load, with the time of forwarding, oldest first.
@@ -166,6 +175,7 @@
         self._revision = self._view.revision
         self._target_by_token = {}
         self._ready_by_service = {}
+        self._evacuated_services = set()
         entries = sorted(self._view.targets.entries(), key=lambda e: e.target.started_ms)
         for entry in entries:
             target = entry.target
@@ -179,7 +189,11 @@
                 )
             load.target = target
             load.is_silent = not self._view.is_alive(target.identity)
-            if target.state is roster.State.READY:
+            if target.state is not roster.State.READY:
+                continue
+            if target.zone in self._view.evacuated_zones:
+                self._evacuated_services.add(target.service)
+            else:
                 self._ready_by_service.setdefault(target.service, []).append(load)
         for token in self._loads.keys() - self._target_by_token.keys():
             del self._loads[token]
@@ -214,10 +228,11 @@
         return flow.target
 
     def _steer_unrecorded(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
-        if packet.kind is not Kind.DATA:
+        load = self._loads.get(packet.token)
+        if packet.kind is not Kind.DATA or load is not None:
+            # Ended, or the target that its first opening went to has answered.
             for queue in self._backlogs.values():
                 queue.remove(packet.flow)
-        load = self._loads.get(packet.token)
         if load is None:
             return DROPPED_UNKNOWN_TOKEN
         if packet.kind is Kind.DATA and packet.has_payload:
@@ -283,6 +298,11 @@
 
     def _steer_opening(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         flow = self._flows.get(packet.flow)
+        if flow is not None and self._is_kept_off(flow):
+            # Placed as a new opening: its first target must not get it again.
+            flow.uncount_as_load()
+            flow = None
+            del self._flows[packet.flow]
         if flow is not None and flow.stage is not flowstate.Stage.CLOSED:
             return self._steer_retransmission(flow, packet, now_s)
         if not self._view.is_ready(now_s):
@@ -297,8 +317,10 @@
         queue = self._backlogs[service]
         if packet.flow in queue:
             return WAITING
+        if service in self._evacuated_services:
+            self.counters.events["openings_kept_off_zone"] += 1
         if service not in self._ready_by_service:
-            return REFUSED_NO_TARGET
+            return self._no_target(service)
         load = NO_CAPACITY if queue else self._place(service, now_s, avoid=None)
         if load is NO_CAPACITY:
             return self._enqueue(packet, service, rule.wait_s, now_s)
@@ -306,6 +328,15 @@
             return load
         return self._admit(packet, load, now_s)
 
+    def _is_kept_off(self, flow: flowstate.Flow) -> bool:
+        """Whether a flow was sent to a target whose zone has been evacuated and is not open yet."""
+        return (
+            flow.stage is flowstate.Stage.OPENING and flow.target.zone in self._view.evacuated_zones
+        )
+
+    def _no_target(self, service: str) -> errors.Nothing:
+        return REFUSED_EVACUATED if service in self._evacuated_services else REFUSED_NO_TARGET
+
     def _rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
         found = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
         return REFUSED_NO_ROUTE if isinstance(found, errors.Nothing) else found
@@ -328,7 +359,7 @@
     ) -> choosing.Load | errors.Nothing:
         loads = [load for load in self._ready_by_service.get(service, ()) if load is not avoid]
         if not loads:
-            return REFUSED_NO_TARGET
+            return self._no_target(service)
         free = [load for load in choosing.eligible(loads, now_s) if load.has_capacity]
         if not free:
             return NO_CAPACITY
@@ -380,7 +411,7 @@
             self._refresh()
         for service, queue in self._backlogs.items():
             if queue and service not in self._ready_by_service:
-                self._reject(queue.clear(), REFUSED_NO_TARGET)
+                self._reject(queue.clear(), self._no_target(service))
             while queue:
                 load = self._place(service, now_s, avoid=None)
                 if isinstance(load, errors.Nothing):
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -55,7 +55,10 @@
     Attributes:
         rules: The rules in force.
         targets: Newest records of all targets that may have flows.
-        revision: Increases whenever targets or rules may have changed.
+        revision: Increases whenever targets, rules or evacuated zones may have changed.
+        evacuated_zones: Zones whose targets get no new flows.
+        places_revision: Revision of ``evacuated_zones``, the control VMs' number.
+        returned_s: When the evacuation of each zone that was evacuated lately ended, at the latest.
         pending_events: Events to log, as event, peer and detail; cleared by whoever logs them.
     """
 
@@ -82,6 +85,9 @@
         self.rules = rulebook.RuleBook()
         self.targets = roster.Roster(silent_after_s=contact_s, retain_s=retain_s)
         self.revision = 0
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.places_revision = 0
+        self.returned_s: dict[str, float] = {}
         self.pending_events: list[tuple[events.Event, str, str]] = []
         self._seeds = tuple(seeds)
         self._feeds: dict[str, FeedState] = {}
@@ -93,6 +99,7 @@
         self._last_update_s = -1e9
         self._has_target_table = False
         self._is_confirmed = False
+        self._are_places_confirmed = False
         self._was_stale = False
         self._was_ready = False
         self._silent_targets: frozenset[str] = frozenset()
@@ -174,8 +181,11 @@
             self.revision += 1
             self.pending_events.append((events.RULES_IN_FORCE, name, f"number {update.number}"))
         state.number = update.number
+        if update.evacuated_zones is not None and update.places_revision > self.places_revision:
+            self._take_places(name, update, now_s)
         if update.is_current:
             state.last_current_s = now_s
+            self._are_places_confirmed |= self.places_revision >= update.places_revision
             self._is_confirmed |= self.rules.number >= update.number > 0
         state.is_complete = update.is_complete
         if update.entry_vms is not None:
@@ -186,6 +196,24 @@
             detail = f"{len(self.targets)} targets"
             self.pending_events.append((events.TABLE_COMPLETE, name, detail))
 
+    def _take_places(self, name: str, update: feed.Update, now_s: float) -> None:
+        zones = frozenset(update.evacuated_zones)
+        ages_s = dict(update.returned_zones)
+        returned = (self.evacuated_zones - zones) | (ages_s.keys() - zones)
+        for zone in returned:
+            # Without an age it ended long ago, or the control VM restarted since; taken as now.
+            ended_s = now_s - ages_s.get(zone, 0.0)
+            self.returned_s[zone] = max(ended_s, self.returned_s.get(zone, ended_s))
+        detail = f"change {update.places_revision} from {name}"
+        for zone in sorted(zones - self.evacuated_zones):
+            self.returned_s.pop(zone, None)
+            self.pending_events.append((events.ZONE_EVACUATED, zone, detail))
+        for zone in sorted(self.evacuated_zones - zones):
+            self.pending_events.append((events.ZONE_RETURNED, zone, detail))
+        self.evacuated_zones = zones
+        self.places_revision = update.places_revision
+        self.revision += 1
+
     def _apply_observation(
         self, state: FeedState, observation: feed.Observation, now_s: float
     ) -> None:
@@ -255,16 +283,18 @@
         )
 
     def is_ready(self, now_s: float) -> bool:
-        """Whether rules and targets are known, so that packets can be handled; stays true.
+        """Whether rules, evacuated zones and targets are known, so that packets can be handled.
 
-        In a partitioned zone no control VM can confirm the rules, so unconfirmed ones are accepted
-        after ``CONFIRMATION_TIMEOUT_S``.
+        Stays true. In a partitioned zone no control VM can confirm rules and evacuated zones, so
+        unconfirmed ones are accepted after ``CONFIRMATION_TIMEOUT_S``.
 
         Args:
             now_s: Current time.
         """
         if not self._was_ready:
-            is_confirmed = self._is_confirmed or now_s - self._started_s > CONFIRMATION_TIMEOUT_S
+            is_confirmed = (
+                self._is_confirmed and self._are_places_confirmed
+            ) or now_s - self._started_s > CONFIRMATION_TIMEOUT_S
             self._was_ready = (
                 bool(self.rules.number) and is_confirmed and self._has_enough_targets()
             )
