--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -12,7 +12,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 
-from zinniaspoke import errors, porcelain, secretfiles, settings
+from zinniaspoke import cli, errors, porcelain, secretfiles, settings
 from zinniaspoke.proto import control_pb2
 
 NET = f"127.{64 + os.getpid() % 128}"
@@ -246,3 +246,66 @@
             await wait_for(lambda: all(core.history.number == 1 for core in cores))
 
     asyncio.run(run())
+
+
+def test_operator_evacuates_a_zone_and_gives_it_back(tmp_path):
+    async def run():
+        async with Running(tmp_path) as running:
+            await running.announce(zone="a")
+            operator, core = running.operator, running.entry.core
+            yes = control_pb2.SUBMIT_OUTCOME_YES
+            for _ in range(2):
+                assert (await porcelain.order_zone(operator, "a", True)).outcome == yes
+            await wait_for(lambda: core.evacuated_zones == {"a"})
+            found = await porcelain.status_of_all(operator)
+            assert found.evacuated_zones() == ("a",)
+            assert [t.state for t in found.targets()] == ["zone evacuated"]
+            assert (await porcelain.order_zone(operator, "a", False)).outcome == yes
+            await wait_for(lambda: not core.evacuated_zones)
+            found = await porcelain.status_of_all(operator)
+            assert [t.state for t in found.targets()] == ["ready"]
+            core.install_places(1, ("a",))
+            assert not core.evacuated_zones
+            with pytest.raises(errors.ZoneError):
+                await porcelain.order_zone(operator, "a/b", True)
+
+    asyncio.run(run())
+
+
+def test_zone_orders_need_the_submit_token(tmp_path):
+    async def run():
+        async with Running(tmp_path) as running:
+            other = tmp_path / "other"
+            other.mkdir()
+            _, _, stranger = write_settings(other, None)
+            reply = await porcelain.order_zone(stranger, "a", True)
+            assert reply.outcome == control_pb2.SUBMIT_OUTCOME_NO
+            assert "no valid token for submit" in reply.reason
+            assert not running.entry.core.evacuated_zones
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status", "word"),
+    [
+        (control_pb2.SUBMIT_OUTCOME_YES, cli.EXIT_OK, "yes: because"),
+        (control_pb2.SUBMIT_OUTCOME_NO, cli.EXIT_NO, "no: because"),
+        (control_pb2.SUBMIT_OUTCOME_UNKNOWN, cli.EXIT_UNKNOWN, "unknown: give the order again"),
+    ],
+)
+@pytest.mark.parametrize("command", ["evacuate", "restore"])
+def test_commands_for_zones_print_the_answer(
+    tmp_path, monkeypatch, capsys, command, outcome, status, word
+):
+    asked = []
+
+    async def order_zone(config, zone, is_evacuated):
+        asked.append((zone, is_evacuated))
+        return control_pb2.SubmitReply(outcome=outcome, reason="because")
+
+    monkeypatch.setattr(porcelain, "order_zone", order_zone)
+    monkeypatch.setattr(settings, "load_operator", lambda path: None)
+    assert cli.main([command, "--settings=x", "a"]) == status
+    assert capsys.readouterr().out.startswith(word)
+    assert asked == [("a", command == "evacuate")]
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -3,13 +3,14 @@
 from zinniaspoke import targets
 
 
-def state(number, incarnation=1, version=1, renewed_s=0.0, service="ledger", **fields):
+def state(number, incarnation=1, version=1, renewed_s=0.0, service="ledger", zone="", **fields):
     target = targets.Target(
         address=bytes((10, 0, 0, number)),
         port=80,
         service=service,
         incarnation=incarnation,
         geneve_port=6081,
+        zone=zone,
     )
     fields = {"is_draining": False, **fields}
     return targets.TargetState(target=target, version=version, renewed_s=renewed_s, **fields)
@@ -96,3 +97,15 @@
     assert table.old_lease_left_s(newer.target, 5.0) == 0.5
     assert [newer.accepts_new_flows(now_s) for now_s in (5.4, 5.6)] == [False, True]
     assert table.old_lease_left_s(newer.target, 9.0) == 0.0
+
+
+def test_targets_of_an_evacuated_zone_accept_no_new_flows_until_it_is_given_back():
+    table = targets.TargetTable()
+    table.merge(state(1, zone="a"), 0.0)
+    table.set_evacuated(frozenset({"a"}))
+    table.merge(state(2, zone="a"), 0.0)
+    table.merge(state(3, zone="b"), 0.0)
+    table.merge(state(1, zone="a", version=2, renewed_s=1.0), 1.0)
+    assert [s.accepts_new_flows(1.0) for s in table.of_service("ledger")] == [False, False, True]
+    table.set_evacuated(frozenset())
+    assert all(s.accepts_new_flows(1.0) for s in table.of_service("ledger"))
--- a/zinniaspoke/adapters/rpc.py
+++ b/zinniaspoke/adapters/rpc.py
@@ -7,7 +7,7 @@
 import grpc
 from grpc import aio
 
-from zinniaspoke import consensus, control, errors, ports, settings
+from zinniaspoke import consensus, control, errors, evacuations, ports, settings
 from zinniaspoke.proto import control_pb2, control_pb2_grpc
 
 DELIVER_TIMEOUT_S = 1.0
@@ -80,14 +80,24 @@
         await self._server.check_token(context, "submit")
         return await self._server.submit(request.number, request.content)
 
+    async def Order(  # noqa: N802 - named by the protocol
+        self, request: control_pb2.ZoneOrder, context: aio.ServicerContext
+    ) -> control_pb2.SubmitReply:
+        await self._server.check_token(context, "submit")
+        return await self._server.order(request)
+
     async def Rules(  # noqa: N802 - named by the protocol
         self, request: control_pb2.RulesRequest, context: aio.ServicerContext
     ) -> control_pb2.RulesReply:
         await self._server.check_token(context, "read")
-        current = self._server.core.history.current
-        if current.number <= request.have_number:
-            return control_pb2.RulesReply()
-        return control_pb2.RulesReply(rule_file=current)
+        core = self._server.core
+        places = core.evacuations
+        reply = control_pb2.RulesReply(
+            evacuated_zones=sorted(places.zones), places_revision=places.revision
+        )
+        if core.history.current.number > request.have_number:
+            reply.rule_file.CopyFrom(core.history.current)
+        return reply
 
     async def Status(  # noqa: N802 - named by the protocol
         self, request: control_pb2.StatusRequest, context: aio.ServicerContext
@@ -200,7 +210,25 @@
         Returns:
             The answer.
         """
-        ticket = self.core.submit(number, content, self.now())
+        return await self._wait(self.core.submit(number, content, self.now()))
+
+    async def order(self, order: control_pb2.ZoneOrder) -> control_pb2.SubmitReply:
+        """Takes a zone order and waits for its answer.
+
+        Args:
+            order: The order.
+
+        Returns:
+            The answer.
+        """
+        try:
+            evacuations.check_zone(order.zone, ())
+        except errors.ZoneError as error:
+            no = control_pb2.SUBMIT_OUTCOME_NO
+            return control_pb2.SubmitReply(outcome=no, reason=str(error))
+        return await self._wait(self.core.order(order, self.now()))
+
+    async def _wait(self, ticket: int) -> control_pb2.SubmitReply:
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
         self.flush()
@@ -279,14 +307,29 @@
 
     async def submit(self, number: int, content: bytes) -> control_pb2.SubmitReply:
         """See ``ports.ControlPort.submit``."""
-        request = control_pb2.SubmitRequest(number=number, content=content)
+        return await self._call("Submit", control_pb2.SubmitRequest(number=number, content=content))
+
+    async def order(self, order: control_pb2.ZoneOrder) -> control_pb2.SubmitReply:
+        """Gives a zone order.
+
+        Args:
+            order: The order.
+
+        Returns:
+            The answer; unknown where none came.
+        """
+        return await self._call("Order", order)
+
+    async def _call(
+        self, method: str, request: control_pb2.SubmitRequest | control_pb2.ZoneOrder
+    ) -> control_pb2.SubmitReply:
         reason = "no replica leads"
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + SUBMIT_TIMEOUT_S
         while loop.time() < deadline_s:
             index = self._preferred % len(self._stubs)
             try:
-                reply = await self._stubs[index].Submit(
+                reply = await getattr(self._stubs[index], method)(
                     request, timeout=SUBMIT_TIMEOUT_S, metadata=self._metadata
                 )
             except aio.AioRpcError as error:
--- a/zinniaspoke/cli.py
+++ b/zinniaspoke/cli.py
@@ -212,16 +212,40 @@
     path = _one(words, "rule file")
     number = int(_need(values, "number"))
     reply = asyncio.run(porcelain.submit(_operator(values), number, path))
+    return _print_reply(reply, f"resend number {number} with the same file")
+
+
+def _print_reply(reply: control_pb2.SubmitReply, advice: str) -> int:
     if reply.outcome == control_pb2.SUBMIT_OUTCOME_YES:
         print(f"yes: {reply.reason}")
         return EXIT_OK
     if reply.outcome == control_pb2.SUBMIT_OUTCOME_NO:
         print(f"no: {reply.reason}")
         return EXIT_NO
-    print(f"unknown: resend number {number} with the same file ({reply.reason})")
+    print(f"unknown: {advice} ({reply.reason})")
     return EXIT_UNKNOWN
 
 
+@_command(
+    "evacuate ZONE",
+    "Gives a zone's targets no new flows: yes (exit 0), no (exit 1) or unknown (exit 3).",
+    _operator_flag,
+)
+def _run_evacuate(values: flags.FlagValues, words: list[str]) -> int:
+    reply = asyncio.run(porcelain.order_zone(_operator(values), _one(words, "zone"), True))
+    return _print_reply(reply, "give the order again")
+
+
+@_command(
+    "restore ZONE",
+    "Ends the evacuation of a zone: yes (exit 0), no (exit 1) or unknown (exit 3).",
+    _operator_flag,
+)
+def _run_restore(values: flags.FlagValues, words: list[str]) -> int:
+    reply = asyncio.run(porcelain.order_zone(_operator(values), _one(words, "zone"), False))
+    return _print_reply(reply, "give the order again")
+
+
 @_command("show [--json]", "Prints the rules in force.", _operator_flag, _json_flag)
 def _run_show(values: flags.FlagValues, words: list[str]) -> int:
     _none(words)
@@ -266,6 +290,7 @@
     ]
     _print_table(replicas, ("control replica", "name", "role", "term", "rules", "entries"))
     print()
+    print(f"evacuated zones: {', '.join(found.evacuated_zones()) or 'none'}\n")
     targets = [
         (t.name, t.zone, t.state, t.lease_left_s, t.short_count, t.long_count, t.ejection)
         for t in found.targets()
--- a/zinniaspoke/daemons/entry.py
+++ b/zinniaspoke/daemons/entry.py
@@ -228,6 +228,8 @@
                 if reply.rule_file.number:
                     file = reply.rule_file
                     self._perform(self.core.install_rules(file.number, file.content))
+                places = self.core.install_places(reply.places_revision, reply.evacuated_zones)
+                self._perform(places)
             await asyncio.sleep(RULES_POLL_S)
 
     def begin_leave(self) -> None:
--- a/zinniaspoke/entry.py
+++ b/zinniaspoke/entry.py
@@ -12,7 +12,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -130,6 +130,8 @@
             caller_path=self.caller_path,
             set_idle_counts=self.gossip.set_idle_counts,
         )
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.places_revision = 0
         self._placed_services: frozenset[str] = frozenset()
         self._applied_version = -1
         self._logged_reachable: frozenset[int] = frozenset()
@@ -333,6 +335,27 @@
             self.out.log(events.RULES_IN_FORCE, f"rule file {number}", f"{rule_count} rules")
         return self.out.take_actions()
 
+    def install_places(self, revision: int, zones: Iterable[str]) -> list[actions.Action]:
+        """Takes the evacuated zones of a control replica, unless it has older ones.
+
+        Args:
+            revision: Number of orders that changed them.
+            zones: Names of the evacuated zones.
+
+        Returns:
+            The actions to perform.
+        """
+        if revision > self.places_revision:
+            self.places_revision = revision
+            now_evacuated, detail = frozenset(zones), f"change {revision}"
+            for zone in sorted(now_evacuated - self.evacuated_zones):
+                self.out.log(events.ZONE_EVACUATED, zone, detail)
+            for zone in sorted(self.evacuated_zones - now_evacuated):
+                self.out.log(events.ZONE_RETURNED, zone, detail)
+            self.evacuated_zones = now_evacuated
+            self.table.set_evacuated(now_evacuated)
+        return self.out.take_actions()
+
     def tick(self, now_s: float) -> list[actions.Action]:
         """Runs the periodic work; called every few hundredths of a second.
 
--- a/zinniaspoke/porcelain.py
+++ b/zinniaspoke/porcelain.py
@@ -9,7 +9,7 @@
 import aiohttp
 import attrs
 
-from zinniaspoke import burn, errors, levels, rules, secretfiles, settings, status
+from zinniaspoke import burn, errors, evacuations, levels, rules, secretfiles, settings, status
 from zinniaspoke.adapters import logs, report_page, rpc
 from zinniaspoke.daemons import control, entry
 from zinniaspoke.proto import control_pb2
@@ -28,6 +28,8 @@
         term: Its term.
         rule_number: Number of the accepted rule file.
         entry_count: Entries in its log.
+        evacuated_zones: Evacuated zones that it knows.
+        places_revision: Number of orders that changed them.
     """
 
     address: str
@@ -36,6 +38,8 @@
     term: int
     rule_number: int
     entry_count: int
+    evacuated_zones: tuple[str, ...] = ()
+    places_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +56,11 @@
     silent: dict[str, str]
     replicas: list[ReplicaStatus]
 
+    def evacuated_zones(self) -> tuple[str, ...]:
+        """Returns the evacuated zones as the replica with the most changes knows them."""
+        newest = max(self.replicas, key=lambda r: r.places_revision, default=None)
+        return newest.evacuated_zones if newest is not None else ()
+
     def targets(self) -> list[status.TargetStatus]:
         """Returns each target once, from its placer where that answered."""
         best: dict[str, status.TargetStatus] = {}
@@ -176,6 +185,30 @@
         await client.close()
 
 
+async def order_zone(
+    config: settings.OperatorSettings, zone: str, is_evacuated: bool
+) -> control_pb2.SubmitReply:
+    """Evacuates a zone or ends its evacuation.
+
+    Args:
+        config: The operator's settings.
+        zone: The zone.
+        is_evacuated: Whether its targets are to get no new flows.
+
+    Returns:
+        The answer: yes, no or unknown, with the reason.
+
+    Raises:
+        errors.ZoneError: The name is malformed.
+    """
+    evacuations.check_zone(zone, ())
+    client = _client(config, "submit")
+    try:
+        return await client.order(control_pb2.ZoneOrder(zone=zone, is_evacuated=is_evacuated))
+    finally:
+        await client.close()
+
+
 async def show(config: settings.OperatorSettings) -> RulesInForce:
     """Reads the rules in force from all replicas and takes the highest number.
 
@@ -290,6 +323,8 @@
         term=reply.term,
         rule_number=reply.rule_number,
         entry_count=reply.last_index,
+        evacuated_zones=tuple(reply.evacuated_zones),
+        places_revision=reply.places_revision,
     )
 
 
--- a/zinniaspoke/status.py
+++ b/zinniaspoke/status.py
@@ -36,7 +36,8 @@
         name: Service, address and incarnation.
         service: Its service.
         zone: Its availability zone.
-        state: ``ready``, ``draining``, ``drained by operator``, ``lapsed`` or ``replaced``.
+        state: ``ready``, ``draining``, ``drained by operator``, ``zone evacuated``,
+            ``lapsed`` or ``replaced``.
         lease_left_s: Seconds until its lease lapses.
         is_placed_here: Whether this VM is the placer, so that the counts are exact.
         short_count: Open flows of short work.
@@ -170,6 +171,8 @@
         return "replaced"
     if state.is_held:
         return "drained by operator"
+    if state.is_evacuated:
+        return "zone evacuated"
     if state.is_draining:
         return "draining"
     return "ready" if state.accepts_new_flows(now_s) else "lapsed"
--- a/zinniaspoke/targets.py
+++ b/zinniaspoke/targets.py
@@ -88,6 +88,7 @@
         answered_s: When this VM last forwarded a packet that only the target's service sends.
         is_held: Whether an operator drains it, regardless of its announcements.
         held_at_ms: When an operator last set or cleared this, in milliseconds since 1970.
+        is_evacuated: Whether its availability zone is evacuated.
     """
 
     target: Target
@@ -101,6 +102,7 @@
     answered_s: float = -1e9
     is_held: bool = False
     held_at_ms: int = 0
+    is_evacuated: bool = False
 
     @property
     def is_replaced(self) -> bool:
@@ -131,10 +133,10 @@
             now_s: Current time.
 
         Returns:
-            True while it is usable and not draining, its lease is valid, and no newer process has
-            its address.
+            True while it is usable and not draining, its zone is not evacuated, its lease is
+            valid, and no newer process has its address.
         """
-        is_leaving = self.is_draining or self.is_held or self.is_replaced
+        is_leaving = self.is_draining or self.is_held or self.is_replaced or self.is_evacuated
         is_usable = now_s >= self.usable_from_s and now_s - self.renewed_s < self.lease_s
         return is_usable and not is_leaving
 
@@ -167,6 +169,17 @@
         self._by_service: dict[str, list[TargetState]] = {}
         self._by_address: dict[bytes, list[TargetState]] = {}
         self._views: dict[str, list[View]] = {}
+        self._evacuated_zones: frozenset[str] = frozenset()
+
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Marks the targets of evacuated zones, known ones and those learnt later.
+
+        Args:
+            zones: Names of the evacuated zones.
+        """
+        self._evacuated_zones = zones
+        for state in self.states.values():
+            state.is_evacuated = state.target.zone in zones
 
     def merge(self, incoming: TargetState, now_s: float) -> bool:
         """Merges an announcement, received from the target itself or from another entry VM.
@@ -201,6 +214,7 @@
 
     def _add(self, state: TargetState, now_s: float) -> None:
         target = state.target
+        state.is_evacuated = target.zone in self._evacuated_zones
         state.first_seen_s = min(state.first_seen_s, now_s)
         state.usable_from_s = now_s + self.old_lease_left_s(target, now_s)
         for other in self._by_address.get(target.address, []):
