--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -21,7 +21,7 @@
     storage,
 )
 from zinniaspoke.adapters import links, page
-from zinniaspoke.daemons import lean, lean_control, lean_entry
+from zinniaspoke.daemons import calls, lean, lean_control, lean_entry
 from zinniaspoke.proto import control_pb2
 
 LEADER = consensus.Role.LEADER
@@ -636,13 +636,13 @@
         assert await site.order("POST", "a") == 200
         program = site.controls[HOSTS[0]]
         order = control_pb2.ZoneOrder(zone="a")
-        program._ticked_s -= lean_control.STALL_S
+        program.calls._ticked_s -= calls.STALL_S
         assert await program.order(order) is None
         await asyncio.sleep(3 * lean_control.TICK_S)
         assert await program.order(order) is None
         assert program.counters.events["orders_after_stall"] == 2
         assert all(c.replica.evacuated for c in site.controls.values())
-        await asyncio.sleep(lean_control.STALL_READ_S)
+        await asyncio.sleep(calls.STALL_READ_S)
         assert (await program.order(order)).order == order
         await site.stop()
 
@@ -656,12 +656,12 @@
         await site.until(site.leader)
         leader = site.leader()
         for latest in (
-            control_pb2.ProcessTime(process=leader._process, time_s=lean.now_s() - 0.01),
-            control_pb2.ProcessTime(process=leader._process + 1, time_s=lean.now_s() + 10),
+            control_pb2.ProcessTime(process=leader.calls.process, time_s=lean.now_s() - 0.01),
+            control_pb2.ProcessTime(process=leader.calls.process + 1, time_s=lean.now_s() + 10),
         ):
             call = control_pb2.Call(order=control_pb2.ZoneOrder(zone="a"), latest=latest)
             link = next(iter(leader._controls_in))
-            leader._take_call(link, call, lean.now_s())
+            leader.calls.take_call(link, call, lean.now_s())
         await asyncio.sleep(0.5)
         assert leader.replica.evacuated == {"a"}
         await site.stop()
@@ -676,14 +676,14 @@
         await founded(site)
         await site.until(site.leader)
         leader = site.leader()
-        take = leader._take_call
+        take = leader.calls.take_call
 
         def take_as_before(link, call, now_s):
             for field in ("order", "latest", "asks_time"):
                 call.ClearField(field)
             take(link, call, now_s)
 
-        leader._take_call = take_as_before
+        leader.calls.take_call = take_as_before
         other = next(c for c in site.controls.values() if c is not leader)
         assert (await other.call(None)).reply.outcome == control_pb2.SUBMIT_OUTCOME_YES
         assert await other.order(control_pb2.ZoneOrder(zone="a", is_evacuated=True)) is None
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -4,8 +4,6 @@
 import json
 import random
 
-import attrs
-
 from zinniaspoke import (
     consensus,
     control,
@@ -23,44 +21,17 @@
     storage,
 )
 from zinniaspoke.adapters import exposition, links, page, replica_thread
-from zinniaspoke.daemons import lean
+from zinniaspoke.daemons import calls, lean
 from zinniaspoke.proto import control_pb2
 
 # A fifth of the leader's heartbeat interval is not needed: messages are sent as they arise.
 TICK_S = 0.04
-# Callers turn to another control VM after a second without an answer.
-CALL_LIMIT_S = 0.85
-CALL_RETRY_S = 0.04
-# A caller that turned elsewhere may give the opposite order next, so a copy of an order must not be
-# taken any more by then: it may have waited for a standing event loop, and then for its answer.
-ORDER_LIMIT_S = 0.6
-STALL_S = 0.4
-# After such a stall, calls that arrived meanwhile are read for at most this long.
-STALL_READ_S = 0.5
 # A planned stop of a control VM takes this long at most.
 STOP_LIMIT_S = 2.0
 # A stop ends once no call was open or arrived for this long: a round trip between zones and more.
 STOP_QUIET_S = 0.1
 # Connections to control VMs that left the set are kept this long.
 DIAL_KEEP_S = 10.0
-_FINAL = (control_pb2.SUBMIT_OUTCOME_YES, control_pb2.SUBMIT_OUTCOME_NO)
-
-
-@attrs.frozen(kw_only=True, eq=False)
-class _Caller:
-    """Whoever waits for an answer: a call to this VM, or another control VM that passed one on.
-
-    Attributes:
-        waiting: The call to this VM, or None.
-        link: Where the answer goes, or None.
-        ticket: The other control VM's ticket.
-        order: The zone order that the call gives, or None.
-    """
-
-    waiting: asyncio.Future[control_pb2.CallReply | None] | None = None
-    link: links.Link | None = None
-    ticket: int = 0
-    order: control_pb2.ZoneOrder | None = None
 
 
 class LeanControl(links.Owner, lean.Program):
@@ -69,6 +40,7 @@
     Attributes:
         config: The settings.
         counters: Counts of this process.
+        calls: Calls of operators that are under way.
         task: Runs as long as the program can go on.
     """
 
@@ -86,20 +58,18 @@
         self._controls_in: dict[links.Link, str] = {}
         self._diallers: dict[str, links.Dialler] = {}
         self._used_s: dict[str, float] = {}
-        # Whoever waits for an answer of this VM's replica, by ticket.
-        self._waiting: dict[int, _Caller] = {}
-        self._remote: dict[int, asyncio.Future[control_pb2.CallReply | None]] = {}
-        self._next_ticket = 0
-        # Tells this process from an earlier one whose clock another control VM may have asked for.
-        self._process = random.getrandbits(64)
-        self._ticked_s = lean.now_s()
-        self._stalled_s = -1e9
         self._replica = replica_thread.ReplicaThread(
             open_core=self._open_core, clock=lean.now_s, deliver=self._take_output
         )
+        self.calls = calls.Calls(
+            view=lambda: self.replica,
+            enter=self._replica.enter,
+            send=self._pass_on,
+            counted=self.counters,
+            now_s=lean.now_s(),
+        )
         self._servers: list[asyncio.AbstractServer] = []
         self.task: asyncio.Task[None] | None = None
-        self._open_call_count = 0
         self._called_s = 0.0
 
     async def start(self, handler: page.Handler) -> None:
@@ -237,32 +207,14 @@
         elif kind is links.Kind.GOSSIP:
             self._coordinator.receive_gossip(feed.decode(payload, link.peer, now_s), now_s)
         elif kind is links.Kind.CALL:
-            self._take_call(link, control_pb2.Call.FromString(payload), now_s)
+            self.calls.take_call(link, control_pb2.Call.FromString(payload), now_s)
         elif kind is links.Kind.REPLY:
-            reply = control_pb2.CallReply.FromString(payload)
-            self._resolve(self._remote.pop(reply.ticket, None), reply)
+            self.calls.take_reply(control_pb2.CallReply.FromString(payload))
         elif kind is links.Kind.STATE:
             self._take_state(link, payload, now_s)
         elif kind is links.Kind.HELLO:
             self._take_hello(link, json.loads(payload))
 
-    def _take_call(self, link: links.Link, call: control_pb2.Call, now_s: float) -> None:
-        caller = _Caller(link=link, ticket=call.ticket)
-        if call.asks_time:
-            time = control_pb2.ProcessTime(process=self._process, time_s=now_s)
-            reply = control_pb2.CallReply(ticket=call.ticket, time=time)
-            link.send(links.Kind.REPLY, reply.SerializeToString())
-        elif call.HasField("order"):
-            if call.latest.process == self._process:
-                caller = attrs.evolve(caller, order=call.order)
-                self._replica.enter(call.order, caller, call.latest.time_s)
-            else:
-                # Its caller asked an earlier process for the time; it asks again.
-                reply = control_pb2.CallReply(ticket=call.ticket)
-                link.send(links.Kind.REPLY, reply.SerializeToString())
-        else:
-            self._replica.enter(call.file if call.HasField("file") else None, caller)
-
     def _take_hello(self, link: links.Link, hello: dict) -> None:
         if "control" in hello:
             self._controls_in[link] = str(hello["control"])
@@ -314,19 +266,11 @@
         return is_taken
 
     async def call(self, file: control_pb2.RuleFile | None) -> control_pb2.CallReply | None:
-        """Submits a rule file or reads the one in force, through the leader.
-
-        Args:
-            file: The file, or None to read.
-
-        Returns:
-            The answer, or None where nothing certain can be said in time.
-        """
-        name = "read" if file is None else "submit"
-        return await self._call(file, name, lean.now_s() + CALL_LIMIT_S)
+        """See ``calls.Calls.call``."""
+        return await self.calls.call(file)
 
     async def order(self, order: control_pb2.ZoneOrder) -> control_pb2.CallReply | None:
-        """Gives a zone order, through the leader.
+        """Gives a zone order; see ``calls.Calls.order``.
 
         Args:
             order: The order.
@@ -338,122 +282,16 @@
             errors.ZoneError: The zone is unknown.
         """
         evacuations.check_zone(order.zone, self.config.zones)
-        now_s = lean.now_s()
-        if now_s - self._ticked_s > STALL_S or now_s - self._stalled_s < STALL_READ_S:
-            self.counters.events["orders_after_stall"] += 1
-            return None
-        return await self._call(order, "order", now_s + ORDER_LIMIT_S)
-
-    async def _call(
-        self, command: control.Command | None, name: str, deadline_s: float
-    ) -> control_pb2.CallReply | None:
-        started_s = lean.now_s()
-        self._open_call_count += 1
-        try:
-            answer = await self._call_until(command, deadline_s)
-        finally:
-            self._open_call_count -= 1
-        self.counters.histograms[name].note(lean.now_s() - started_s)
-        self.counters.events[f"{name}_{'unsure' if answer is None else 'answered'}"] += 1
-        return answer
-
-    async def _call_until(
-        self, command: control.Command | None, deadline_s: float
-    ) -> control_pb2.CallReply | None:
-        while lean.now_s() < deadline_s:
-            if isinstance(command, control_pb2.ZoneOrder):
-                answer = await self._try_order(command, deadline_s)
-            else:
-                call = control_pb2.Call(file=command)
-                answer = await self._wait(self._start_call(command, call), deadline_s)
-            if answer is not None and answer.reply.outcome in _FINAL:
-                return answer
-            await asyncio.sleep(CALL_RETRY_S)
-        return None
-
-    async def _try_order(
-        self, order: control_pb2.ZoneOrder, deadline_s: float
-    ) -> control_pb2.CallReply | None:
-        """Gives an order once; the leader learns on its own clock how long it may be proposed."""
-        call = control_pb2.Call(order=order)
-        if self.replica.role is not consensus.Role.LEADER:
-            leader = self.replica.leader
-            asked = self._pass_on(leader, control_pb2.Call(asks_time=True))
-            told = await self._wait(asked, deadline_s)
-            left_s = deadline_s - lean.now_s()
-            # A leader of the version before answers as to a read, without a time.
-            if told is None or not told.HasField("time") or self.replica.leader != leader:
-                return None
-            call.latest.CopyFrom(told.time)
-            call.latest.time_s += left_s
-        answer = await self._wait(self._start_call(order, call, deadline_s), deadline_s)
-        is_echoed = answer is not None and answer.HasField("order") and answer.order == order
-        return answer if is_echoed else None
-
-    async def _wait(
-        self, waiting: asyncio.Future[control_pb2.CallReply | None] | None, deadline_s: float
-    ) -> control_pb2.CallReply | None:
-        if waiting is None:
-            return None
-        done, _ = await asyncio.wait((waiting,), timeout=max(0.0, deadline_s - lean.now_s()))
-        if not done:
-            self._forget(waiting)
-        return waiting.result() if done else None
-
-    def _forget(self, waiting: asyncio.Future[control_pb2.CallReply | None]) -> None:
-        """Drops a call that nobody waits for; its leader may be gone."""
-        for ticket in [t for t, future in self._remote.items() if future is waiting]:
-            del self._remote[ticket]
-
-    def _start_call(
-        self,
-        command: control.Command | None,
-        call: control_pb2.Call,
-        latest_s: float | None = None,
-    ) -> asyncio.Future[control_pb2.CallReply | None] | None:
-        if self.replica.role is not consensus.Role.LEADER:
-            return self._pass_on(self.replica.leader, call)
-        waiting = asyncio.get_running_loop().create_future()
-        order = command if isinstance(command, control_pb2.ZoneOrder) else None
-        self._replica.enter(command, _Caller(waiting=waiting, order=order), latest_s)
-        return waiting
-
-    def _pass_on(
-        self, leader: str, call: control_pb2.Call
-    ) -> asyncio.Future[control_pb2.CallReply | None] | None:
-        if leader not in self._diallers:
-            return None
-        waiting = asyncio.get_running_loop().create_future()
-        self._next_ticket += 1
-        call.ticket = self._next_ticket
-        self._remote[call.ticket] = waiting
-        if self._send(leader, links.Kind.CALL, call.SerializeToString()):
-            return waiting
-        del self._remote[call.ticket]
-        return None
+        return await self.calls.order(order)
 
     def _tell_disk(self, error: errors.StorageError) -> None:
         self.counters.events["disk_failures"] += 1
         self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
 
-    @staticmethod
-    def _resolve(
-        waiting: asyncio.Future[control_pb2.CallReply | None] | None,
-        reply: control_pb2.CallReply | None,
-    ) -> None:
-        if waiting is not None and not waiting.done():
-            waiting.set_result(reply)
-
-    def _deliver(self, answer: control.Answer) -> None:
-        caller = self._waiting.pop(answer.ticket, None)
-        if caller is None:
-            return
-        reply = control_pb2.CallReply(reply=answer.reply, ticket=caller.ticket, order=caller.order)
-        if caller.order is None:
-            reply.file.CopyFrom(self.replica.rules)
-        self._resolve(caller.waiting, reply)
-        if caller.link is not None:
-            caller.link.send(links.Kind.REPLY, reply.SerializeToString())
+    def _pass_on(self, leader: str, call: control_pb2.Call) -> bool:
+        if leader not in self._diallers:
+            return False
+        return self._send(leader, links.Kind.CALL, call.SerializeToString())
 
     # Output
 
@@ -478,12 +316,7 @@
             self._used_s[name] = now_s
             self._send(name, links.Kind.REPLICA, message.SerializeToString())
         self._flush()
-        for ticket, caller in output.entered:
-            self._waiting[ticket] = caller
-        for caller in output.refused:
-            self._resolve(caller.waiting, None)
-        for answer in output.answers:
-            self._deliver(answer)
+        self.calls.take_output(output)
         for notice in output.notices:
             self._output.write(notice.event, "decide", notice.peer, notice.detail)
         if output.disk_error is not None:
@@ -517,9 +350,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             now_s = lean.now_s()
-            if now_s - self._ticked_s > STALL_S:
-                self._stalled_s = now_s
-            self._ticked_s = now_s
+            self.calls.tick(now_s)
             if self._replica.failure is not None:
                 raise self._replica.failure
             self._replica.tick()
@@ -539,7 +370,7 @@
             server.close()
         quiet_s = lean.now_s()
         while (now_s := lean.now_s()) < deadline_s and now_s - quiet_s < STOP_QUIET_S:
-            if self._open_call_count or self._called_s > quiet_s:
+            if self.calls.open_count or self._called_s > quiet_s:
                 quiet_s = now_s
             await asyncio.sleep(TICK_S)
         self._replica.stop()
