--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -4,14 +4,13 @@
 import json
 import random
 
-import attrs
-
 from zinniaspoke import (
     consensus,
     control,
     coordinator,
     counters,
     errors,
+    evacuations,
     events,
     feed,
     lean_settings,
@@ -22,36 +21,17 @@
     storage,
 )
 from zinniaspoke.adapters import exposition, links, page, replica_thread
-from zinniaspoke.daemons import lean
+from zinniaspoke.daemons import calls, lean
 from zinniaspoke.proto import control_pb2
 
 # A fifth of the leader's heartbeat interval is not needed: messages are sent as they arise.
 TICK_S = 0.04
-# Callers turn to another control VM after a second without an answer.
-CALL_LIMIT_S = 0.85
-CALL_RETRY_S = 0.04
 # A planned stop of a control VM takes this long at most.
 STOP_LIMIT_S = 2.0
 # A stop ends once no call was open or arrived for this long: a round trip between zones and more.
 STOP_QUIET_S = 0.1
 # Connections to control VMs that left the set are kept this long.
 DIAL_KEEP_S = 10.0
-_FINAL = (control_pb2.SUBMIT_OUTCOME_YES, control_pb2.SUBMIT_OUTCOME_NO)
-
-
-@attrs.frozen(kw_only=True, eq=False)
-class _Caller:
-    """Whoever waits for an answer: a call to this VM, or another control VM that passed one on.
-
-    Attributes:
-        waiting: The call to this VM, or None.
-        link: Where the answer goes, or None.
-        ticket: The other control VM's ticket.
-    """
-
-    waiting: asyncio.Future[control_pb2.CallReply | None] | None = None
-    link: links.Link | None = None
-    ticket: int = 0
 
 
 class LeanControl(links.Owner, lean.Program):
@@ -60,6 +40,7 @@
     Attributes:
         config: The settings.
         counters: Counts of this process.
+        calls: Calls of operators that are under way.
         task: Runs as long as the program can go on.
     """
 
@@ -77,16 +58,18 @@
         self._controls_in: dict[links.Link, str] = {}
         self._diallers: dict[str, links.Dialler] = {}
         self._used_s: dict[str, float] = {}
-        # Whoever waits for an answer of this VM's replica, by ticket.
-        self._waiting: dict[int, _Caller] = {}
-        self._remote: dict[int, asyncio.Future[control_pb2.CallReply | None]] = {}
-        self._next_ticket = 0
         self._replica = replica_thread.ReplicaThread(
             open_core=self._open_core, clock=lean.now_s, deliver=self._take_output
         )
+        self.calls = calls.Calls(
+            view=lambda: self.replica,
+            enter=self._replica.enter,
+            send=self._pass_on,
+            counted=self.counters,
+            now_s=lean.now_s(),
+        )
         self._servers: list[asyncio.AbstractServer] = []
         self.task: asyncio.Task[None] | None = None
-        self._open_call_count = 0
         self._called_s = 0.0
 
     async def start(self, handler: page.Handler) -> None:
@@ -146,6 +129,8 @@
             "commit_index": replica.commit_index,
             "is_leader": float(replica.role is consensus.Role.LEADER),
             "is_voter": float(replica.is_voter),
+            "places_revision": replica.places_revision,
+            "evacuated_zones": len(replica.evacuated),
         }
         return exposition.render(self.counters, gauges)
 
@@ -222,12 +207,9 @@
         elif kind is links.Kind.GOSSIP:
             self._coordinator.receive_gossip(feed.decode(payload, link.peer, now_s), now_s)
         elif kind is links.Kind.CALL:
-            call = control_pb2.Call.FromString(payload)
-            file = call.file if call.HasField("file") else None
-            self._replica.enter(file, _Caller(link=link, ticket=call.ticket))
+            self.calls.take_call(link, control_pb2.Call.FromString(payload), now_s)
         elif kind is links.Kind.REPLY:
-            reply = control_pb2.CallReply.FromString(payload)
-            self._resolve(self._remote.pop(reply.ticket, None), reply)
+            self.calls.take_reply(control_pb2.CallReply.FromString(payload))
         elif kind is links.Kind.STATE:
             self._take_state(link, payload, now_s)
         elif kind is links.Kind.HELLO:
@@ -239,7 +221,10 @@
             self._send_table(link)
             return
         subscriber = coordinator.Subscriber(
-            rule_number=int(hello["number"]), name=str(hello["entry"]), zone=str(hello["zone"])
+            rule_number=int(hello["number"]),
+            name=str(hello["entry"]),
+            zone=str(hello["zone"]),
+            places_revision=int(hello.get("places_revision", 0)),
         )
         self._subscribers[link] = subscriber
         self._coordinator.record_subscriber_state(
@@ -281,82 +266,32 @@
         return is_taken
 
     async def call(self, file: control_pb2.RuleFile | None) -> control_pb2.CallReply | None:
-        """Submits a rule file or reads the one in force, through the leader.
+        """See ``calls.Calls.call``."""
+        return await self.calls.call(file)
+
+    async def order(self, order: control_pb2.ZoneOrder) -> control_pb2.CallReply | None:
+        """Gives a zone order; see ``calls.Calls.order``.
 
         Args:
-            file: The file, or None to read.
+            order: The order.
 
         Returns:
             The answer, or None where nothing certain can be said in time.
+
+        Raises:
+            errors.ZoneError: The zone is unknown.
         """
-        started_s = lean.now_s()
-        self._open_call_count += 1
-        try:
-            answer = await self._call_until(file, started_s + CALL_LIMIT_S)
-        finally:
-            self._open_call_count -= 1
-        name = "read" if file is None else "submit"
-        self.counters.histograms[name].note(lean.now_s() - started_s)
-        self.counters.events[f"{name}_{'unsure' if answer is None else 'answered'}"] += 1
-        return answer
-
-    async def _call_until(
-        self, file: control_pb2.RuleFile | None, deadline_s: float
-    ) -> control_pb2.CallReply | None:
-        while (left_s := deadline_s - lean.now_s()) > 0:
-            waiting = self._start_call(file)
-            if waiting is not None:
-                done, _ = await asyncio.wait((waiting,), timeout=left_s)
-                answer = waiting.result() if done else None
-                if answer is not None and answer.reply.outcome in _FINAL:
-                    return answer
-                self._forget(waiting)
-            await asyncio.sleep(CALL_RETRY_S)
-        return None
-
-    def _forget(self, waiting: asyncio.Future[control_pb2.CallReply | None]) -> None:
-        """Drops a call that nobody waits for; its leader may be gone."""
-        for ticket in [t for t, future in self._remote.items() if future is waiting]:
-            del self._remote[ticket]
-
-    def _start_call(
-        self, file: control_pb2.RuleFile | None
-    ) -> asyncio.Future[control_pb2.CallReply | None] | None:
-        waiting = asyncio.get_running_loop().create_future()
-        if self.replica.role is consensus.Role.LEADER:
-            self._replica.enter(file, _Caller(waiting=waiting))
-        elif self.replica.leader in self._diallers:
-            self._next_ticket += 1
-            self._remote[self._next_ticket] = waiting
-            call = control_pb2.Call(ticket=self._next_ticket, file=file)
-            if not self._send(self.replica.leader, links.Kind.CALL, call.SerializeToString()):
-                return None
-        else:
-            return None
-        return waiting
+        evacuations.check_zone(order.zone, self.config.zones)
+        return await self.calls.order(order)
 
     def _tell_disk(self, error: errors.StorageError) -> None:
         self.counters.events["disk_failures"] += 1
         self._output.write(events.DISK_FAILED, error.step, error.peer, error.reason)
 
-    @staticmethod
-    def _resolve(
-        waiting: asyncio.Future[control_pb2.CallReply | None] | None,
-        reply: control_pb2.CallReply | None,
-    ) -> None:
-        if waiting is not None and not waiting.done():
-            waiting.set_result(reply)
-
-    def _deliver(self, answer: control.Answer) -> None:
-        caller = self._waiting.pop(answer.ticket, None)
-        if caller is None:
-            return
-        reply = control_pb2.CallReply(
-            reply=answer.reply, file=self.replica.rules, ticket=caller.ticket
-        )
-        self._resolve(caller.waiting, reply)
-        if caller.link is not None:
-            caller.link.send(links.Kind.REPLY, reply.SerializeToString())
+    def _pass_on(self, leader: str, call: control_pb2.Call) -> bool:
+        if leader not in self._diallers:
+            return False
+        return self._send(leader, links.Kind.CALL, call.SerializeToString())
 
     # Output
 
@@ -375,18 +310,13 @@
     def _take_output(self, output: replica_thread.Output) -> None:
         """Sends what a step of the replica produced: subscribers first, then whoever waits."""
         now_s = lean.now_s()
-        self._coordinator.replica = output.view
+        self._coordinator.take_view(output.view, now_s)
         for message in output.messages:
             name = consensus.name_of(message.recipient)
             self._used_s[name] = now_s
             self._send(name, links.Kind.REPLICA, message.SerializeToString())
         self._flush()
-        for ticket, caller in output.entered:
-            self._waiting[ticket] = caller
-        for caller in output.refused:
-            self._resolve(caller.waiting, None)
-        for answer in output.answers:
-            self._deliver(answer)
+        self.calls.take_output(output)
         for notice in output.notices:
             self._output.write(notice.event, "decide", notice.peer, notice.detail)
         if output.disk_error is not None:
@@ -420,6 +350,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             now_s = lean.now_s()
+            self.calls.tick(now_s)
             if self._replica.failure is not None:
                 raise self._replica.failure
             self._replica.tick()
@@ -439,7 +370,7 @@
             server.close()
         quiet_s = lean.now_s()
         while (now_s := lean.now_s()) < deadline_s and now_s - quiet_s < STOP_QUIET_S:
-            if self._open_call_count or self._called_s > quiet_s:
+            if self.calls.open_count or self._called_s > quiet_s:
                 quiet_s = now_s
             await asyncio.sleep(TICK_S)
         self._replica.stop()
--- a/zinniaspoke/selection.py
+++ b/zinniaspoke/selection.py
@@ -12,6 +12,7 @@
 
 from zinniaspoke import choosing, errors
 
+EVACUATION = "evacuation"
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
 REFUSED_EVACUATED = errors.Nothing(reason="refused_evacuated")
 # Not final: the opening waits for a target with capacity.
@@ -102,7 +103,7 @@
     return tuple(step.name for step in sorted(_STEPS.values(), key=lambda step: step.order))
 
 
-@register("evacuation", order=10, reason=REFUSED_EVACUATED)
+@register(EVACUATION, order=10, reason=REFUSED_EVACUATED)
 def _make_evacuation(context: Context) -> Filter:
     """Excludes the targets of evacuated availability zones, whatever remains."""
 
@@ -145,12 +146,18 @@
 
     Attributes:
         load: The target.
-        decided_by: The last step that excluded candidates, with the number that it left; empty if
-            none did.
+        steps: Names of the steps that excluded candidates.
+        left_count: Number of candidates among which the policy chose.
     """
 
     load: choosing.Load
-    decided_by: str
+    steps: tuple[str, ...]
+    left_count: int
+
+    @property
+    def decided_by(self) -> str:
+        """The last step that excluded candidates, with the number that it left; may be empty."""
+        return f"{self.steps[-1]}:{self.left_count}" if self.steps else ""
 
 
 class Selector:
@@ -193,15 +200,16 @@
         """
         if not loads:
             return REFUSED_NO_TARGET
-        decided_by = ""
+        steps = []
         for step, exclude in self._steps:
             left = exclude(loads, query)
             if not left:
                 return step.reason
             if len(left) < len(loads):
-                decided_by = f"{step.name}:{len(left)}"
+                steps.append(step.name)
             loads = left
-        return Selected(load=self._choose(loads, query.now_s), decided_by=decided_by)
+        load = self._choose(loads, query.now_s)
+        return Selected(load=load, steps=tuple(steps), left_count=len(loads))
 
     def trace(self, loads: Loads, query: Query) -> list[tuple[str, Loads]]:
         """Returns the candidates that each step leaves, without selecting one.
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -109,6 +109,7 @@
         self._zones = collections.defaultdict[str, zones.ZoneHealth](zones.ZoneHealth)
         self._target_by_token: dict[int, roster.Target] = {}
         self._ready_by_service: dict[str, list[choosing.Load]] = {}
+        # Services with a ready target in an evacuated zone.
         self._backlogs = collections.defaultdict(backlog.Backlog)
         self._rejected: list[tuple[Packet, errors.Nothing]] = []
         # Openings that count as load, with the time of forwarding, oldest first.
@@ -206,10 +207,11 @@
         return flow.target
 
     def _steer_unrecorded(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
-        if packet.kind is not Kind.DATA:
+        load = self._loads.get(packet.token) or self._former.get(packet.token)
+        if packet.kind is not Kind.DATA or load is not None:
+            # Ended, or the target that its first opening went to has answered.
             for queue in self._backlogs.values():
                 queue.remove(packet.flow)
-        load = self._loads.get(packet.token) or self._former.get(packet.token)
         if load is None:
             return DROPPED_UNKNOWN_TOKEN
         if packet.kind is Kind.DATA and packet.has_payload:
@@ -265,6 +267,11 @@
 
     def _steer_opening(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         flow = self._flows.get(packet.flow)
+        if flow is not None and self._is_kept_off(flow):
+            # Placed as a new opening: its first target must not get it again.
+            flow.uncount_as_load()
+            flow = None
+            del self._flows[packet.flow]
         if flow is not None and flow.stage is not flowstate.Stage.CLOSED:
             return self._steer_retransmission(flow, packet, now_s)
         if not self._view.is_ready(now_s):
@@ -288,6 +295,12 @@
             return found
         return self._admit(packet, found, rule, now_s)
 
+    def _is_kept_off(self, flow: flowstate.Flow) -> bool:
+        """Whether a flow was sent to a target whose zone has been evacuated and is not open yet."""
+        return (
+            flow.stage is flowstate.Stage.OPENING and flow.target.zone in self._view.evacuated_zones
+        )
+
     def _rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
         found = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
         return REFUSED_NO_ROUTE if isinstance(found, errors.Nothing) else found
@@ -321,8 +334,13 @@
     ) -> selection.Selected | errors.Nothing:
         loads = [load for load in self._ready_by_service.get(service, ()) if load not in avoid]
         found = self._selector.select(loads, selection.Query(service=service, now_s=now_s))
-        if not isinstance(found, errors.Nothing):
+        if isinstance(found, errors.Nothing):
+            is_kept_off = found is selection.REFUSED_EVACUATED
+        else:
+            is_kept_off = selection.EVACUATION in found.steps
             found.load.record_placement(now_s)
+        if is_kept_off:
+            self.counters.events["openings_kept_off_zone"] += 1
         return found
 
     # Queued openings
