Limit openings to cold targets by leased shares

Cause: a target that has just started, or became cold while its zone was evacuated, got as many openings as the placement policies of all entry VMs gave it; nothing bounded their sum.

Change: the leading control VM leases shares of a target's limit to few entry VMs; a step of the selection excludes cold targets without a share that has room. Rule files have service lines, which the platform's manifests fill. A target that becomes cold again is a change that entry VMs are sent at once. A zone that returns is ramped up.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -173,6 +173,41 @@
     assert manifest.services_of(file) == {"ledger", "archive"}
 
 
+def with_services(*services):
+    body = json.loads(document(route()))
+    body["services"] = list(services)
+    return json.dumps(body).encode()
+
+
+def test_bounds_of_cold_targets_become_a_line_of_their_service():
+    data = with_services(
+        {"name": "ledger", "cold_start_s": 2.0, "cold_per_s": 0.0}, {"name": "archive"}
+    )
+    file = manifest.compile_rules(data)
+    parsed = rules.parse(file.number, file.content)
+    options = rules.ServiceOptions(cold_per_s=0.0, cold_start_s=2.0)
+    assert parsed.service_options == {"ledger": options}
+    assert manifest.source_of(file) == data
+
+
+def test_manifest_without_these_fields_gives_the_same_rule_file_as_before():
+    file = manifest.compile_rules(document(route()))
+    assert file.content.count(b"\n") == 0
+    assert b"service " not in file.content
+
+
+def test_service_that_is_listed_twice_has_the_options_of_its_last_entry():
+    data = with_services({"name": "ledger", "cold_per_s": 1}, {"name": "ledger", "cold_per_s": 2})
+    file = manifest.compile_rules(data)
+    assert rules.parse_services(file.content)["ledger"].cold_per_s == 2.0
+
+
+@pytest.mark.parametrize("value", ["2", -1, True, [], float("nan")])
+def test_bound_that_is_no_number_is_refused(value):
+    with pytest.raises(errors.RuleError):
+        manifest.compile_rules(with_services({"name": "ledger", "cold_per_s": value}))
+
+
 @pytest.mark.parametrize(
     ("kind", "is_idempotent"),
     [("safe", True), ("download", True), ("unsafe", False), ("upload", False), (..., False)],
@@ -262,6 +297,27 @@
     assert (control.voter_count, control.may_bootstrap) == (5, True)
     assert (entry.packets, entry.ready) == (("10.1.0.12", 1), ("10.1.0.12", 2))
     assert entry.link_bytes_per_s == 250_000
+    # Earlier deployments name no bounds of cold targets.
+    assert control.cold_overage is entry.cold_overage is None
+
+
+def test_bounds_of_cold_targets_are_read_by_both_programs(tmp_path, monkeypatch):
+    path = tmp_path / "settings.json"
+    bounds = {**SETTINGS["bounds"], "cold_overage": 1.5, "cold_slack": 5}
+    path.write_text(json.dumps({**SETTINGS, "bounds": bounds}))
+    monkeypatch.setenv(settings.VARIABLE, str(path))
+    for read in (settings.load_control(), settings.load_entry()):
+        assert (read.cold_overage, read.cold_slack) == (1.5, 5.0)
+
+
+@pytest.mark.parametrize(("field", "value"), [("cold_overage", -1.0), ("cold_slack", -1)])
+def test_bounds_below_zero_are_refused(tmp_path, monkeypatch, field, value):
+    path = tmp_path / "settings.json"
+    bounds = {**SETTINGS["bounds"], "cold_overage": 1.5, "cold_slack": 5, field: value}
+    path.write_text(json.dumps({**SETTINGS, "bounds": bounds}))
+    monkeypatch.setenv(settings.VARIABLE, str(path))
+    with pytest.raises(errors.SettingsError, match=field):
+        settings.load_entry()
 
 
 @pytest.mark.parametrize("missing", ["ip", "bounds", "seed_nodes", "internal_port_range"])
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -246,3 +246,24 @@
     assert 0 not in tokens
     assert len(tokens) == 2 * count
     assert target(sequence=1).token == target(sequence=9, state=DRAINING, zone="b").token
+
+
+def test_target_that_became_cold_again_is_a_change():
+    """Else entry VMs would hear of it only with the next change of its state."""
+    table = make_roster(target(sequence=1, warm_at_s=0.0))
+    before = table.revision
+    table.observe(target(sequence=2, warm_at_s=12.0), 10.0, 10.0)
+    assert [entry.target.warm_at_s for entry in table.changed_since(before)] == [12.0]
+
+
+@pytest.mark.parametrize(
+    ("known_s", "warm_at_s"),
+    [(0.0, 10.0), (11.8, 12.0), (12.0, 11.9), (0.0, 9.9)],
+    ids=["warm", "delayed on its way", "earlier", "over when it arrives"],
+)
+def test_renewal_of_a_warm_up_is_no_change(known_s, warm_at_s):
+    table = make_roster(target(sequence=1, warm_at_s=known_s))
+    before = table.revision
+    table.observe(target(sequence=2, warm_at_s=warm_at_s), 10.0, 10.0)
+    assert table.revision == before
+    assert table.find("i-1").target.warm_at_s == warm_at_s
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -86,3 +86,36 @@
     previous = rules.parse(1, VALID_LINE)
     with pytest.raises(errors.RuleError, match="same address as line 1"):
         rules.parse(2, VALID_LINE + b"\n" + VALID_LINE, previous)
+
+
+SERVICE_LINE = b"service ledger cold_per_s=0.0 cold_start_s=2.0 # ana: fleet"
+
+
+def test_service_line_gives_options_of_the_service_and_is_no_rule():
+    found = rules.parse(3, VALID_LINE + b"\n" + SERVICE_LINE)
+    assert len(found.rules) == 1
+    options = rules.ServiceOptions(cold_per_s=0.0, cold_start_s=2.0)
+    assert found.service_options == {"ledger": options}
+    assert rules.parse_services(found.content) == found.service_options
+
+
+def test_service_without_a_line_has_no_options():
+    assert rules.parse(3, VALID_LINE).service_options == {}
+
+
+@pytest.mark.parametrize(
+    ("line", "reason"),
+    [
+        (b"service ledger cold_per_s=1", "no comment"),
+        (b"service # ana: x", "expected: service NAME"),
+        (b"service led;ger cold_per_s=1 # ana: x", "characters other than"),
+        (b"service ledger cold_per_s=-1 # ana: x", "from 0 up"),
+        (b"service ledger cold_per_s=nan # ana: x", "from 0 up"),
+        (b"service ledger cold_per_s=1 cold_per_s=1 # ana: x", "given twice"),
+        (b"service ledger wait_s=1 # ana: x", "unknown option"),
+        (SERVICE_LINE + b"\n" + SERVICE_LINE, "has two lines"),
+    ],
+)
+def test_wrong_service_lines_are_named(line, reason):
+    with pytest.raises(errors.RuleError, match=reason):
+        rules.parse(1, VALID_LINE + b"\n" + line)
--- a/zinniaspoke/adapters/links.py
+++ b/zinniaspoke/adapters/links.py
@@ -33,6 +33,8 @@
     REPLY = 6
     UPDATE = 7
     STATE = 8
+    SHARE_REQUEST = 20
+    SHARE_GRANT = 21
 
 
 class Owner(abc.ABC):
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -40,6 +40,11 @@
     siblings_revision: int = 0
     controls: tuple[str, ...] = ()
 
+    @property
+    def is_in_rotation(self) -> bool:
+        """Whether the fabric sends packets there and goes on with it."""
+        return self.state is siblings.State.READY
+
     @property
     def follows_siblings(self) -> bool:
         """Whether it is sent the states of its zone's entry VMs; only one that has to stop is.
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -7,6 +7,7 @@
 import attrs
 
 from zinniaspoke import (
+    coldshares,
     consensus,
     control,
     coordinator,
@@ -110,6 +111,11 @@
             announcement_interval_s=config.announcement_interval_s,
             now_s=now_s,
         )
+        self._granter = coldshares.Granter(
+            targets=self._coordinator.targets,
+            overage=config.cold_overage,
+            slack=config.cold_slack,
+        )
         self._servers = [
             await links.listen(self, config.host, config.peer_port, lean.now_s),
             await page.listen(handler, *config.calls),
@@ -203,6 +209,7 @@
         """See ``links.Owner.link_closed``."""
         self._controls_in.pop(link, None)
         subscriber = self._subscribers.pop(link, None)
+        self._set_candidates()
         if subscriber is None or any(s.name == subscriber.name for s in self._subscribers.values()):
             return
         self._coordinator.record_subscriber_state(subscriber, siblings.State.LOST, lean.now_s())
@@ -230,6 +237,8 @@
             self._resolve(self._remote.pop(reply.ticket, None), reply)
         elif kind is links.Kind.STATE:
             self._take_state(link, payload, now_s)
+        elif kind is links.Kind.SHARE_REQUEST:
+            self._take_share_request(link, payload, now_s)
         elif kind is links.Kind.HELLO:
             self._take_hello(link, json.loads(payload))
 
@@ -245,6 +254,7 @@
         self._coordinator.record_subscriber_state(
             subscriber, siblings.State(hello["state"]), lean.now_s()
         )
+        self._set_candidates()
 
     def _take_state(self, link: links.Link, payload: bytes, now_s: float) -> None:
         subscriber = self._subscribers.get(link)
@@ -252,6 +262,30 @@
             self._coordinator.record_subscriber_state(
                 subscriber, siblings.State(int(payload)), now_s
             )
+            self._set_candidates()
+
+    # Shares of the limits of cold targets
+
+    def _set_candidates(self) -> None:
+        vms = self._subscribers.values()
+        self._granter.set_candidates({s.name: s.zone for s in vms if s.is_in_rotation})
+
+    def _look(self, now_s: float) -> None:
+        replica = self.replica
+        is_fresh = now_s - replica.taken_s < coldshares.VIEW_AGE_LIMIT_S
+        leads = replica.role is consensus.Role.LEADER and replica.has_leader and is_fresh
+        self._granter.look(leads=leads, term=replica.term, now_s=now_s)
+
+    def _take_share_request(self, link: links.Link, payload: bytes, now_s: float) -> None:
+        subscriber = self._subscribers.get(link)
+        if subscriber is None:
+            return
+        self._look(now_s)
+        content = self.replica.rules.content
+        grant = self._granter.answer(payload, subscriber.name, content, now_s)
+        if grant is not None:
+            self.counters.events["share_grants"] += 1
+            link.send(links.Kind.SHARE_GRANT, grant)
 
     # Calls
 
@@ -424,6 +458,7 @@
                 raise self._replica.failure
             self._replica.tick()
             self._coordinator.tick(now_s)
+            self._look(now_s)
             self._sync_diallers(now_s)
             for link in (*self._subscribers, *self._controls_in):
                 link.tick()
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -7,6 +7,7 @@
 import socket
 
 from zinniaspoke import (
+    coldshares,
     counters,
     errors,
     events,
@@ -120,12 +121,22 @@
             rng=rng,
             now_s=lean.now_s(),
         )
+        self._holder = (
+            coldshares.Holder(
+                view=self.view,
+                incarnation=rng.getrandbits(32),
+                announcement_interval_s=config.announcement_interval_s,
+            )
+            if config.cold_overage is not None
+            else None
+        )
         self.steering = location.create(
             config.flow_location,
             codec.PACKET_FEATURES,
             view=self.view,
             rng=rng,
             own_zone=config.zone,
+            **({} if self._holder is None else {"holder": self._holder}),
         )
         self._pacer = (
             pacing.Pacer(bytes_per_s=config.link_bytes_per_s, counts=self.steering.counters)
@@ -264,15 +275,29 @@
                 flow=packet.flow,
                 sequence=packet.sequence if packet.has_payload else None,
                 is_opening=packet.kind is steering.Kind.OPENING,
+                deadline_s=self._deadline_s(packet, target, now_s),
             ),
             now_s,
         )
 
+    def _deadline_s(
+        self, packet: steering.Packet, target: roster.Target, now_s: float
+    ) -> float | None:
+        """Returns until when a packet may be sent: openings to cold targets count by their time."""
+        is_opening = packet.kind is steering.Kind.OPENING
+        if self._holder is None or not is_opening or not self._holder.is_limited(target, now_s):
+            return None
+        return now_s + coldshares.SEND_LIMIT_S
+
     def _submit(self, datagram: pacing.Datagram, now_s: float) -> None:
         if self._pacer is None or self._pacer.submit(datagram, now_s):
             self._send(datagram)
 
     def _send(self, datagram: pacing.Datagram) -> None:
+        # This VM may have stood still since the decision.
+        if datagram.deadline_s is not None and lean.now_s() > datagram.deadline_s:
+            self._drop("cold_opening_late")
+            return
         try:
             self._socket.sendto(datagram.data, datagram.endpoint)
         except OSError as error:
@@ -300,6 +325,8 @@
             "flow_records": len(self.steering),
             "is_ready": float(self._is_ready),
         }
+        if self._holder is not None:
+            gauges["cold_shares"] = self._holder.shares_in_use(lean.now_s())
         if self._pacer is not None:
             gauges["link_queued_bytes"] = self._pacer.queued_bytes
         return exposition.render(self.counters, gauges)
@@ -332,9 +359,11 @@
 
     def frame_received(self, link: links.Link, kind: links.Kind, payload: bytes) -> None:
         """See ``links.Owner.frame_received``."""
+        now_s = lean.now_s()
+        if kind is links.Kind.SHARE_GRANT and self._holder is not None:
+            self._take_grant(link, payload, now_s)
         if kind is not links.Kind.UPDATE:
             return
-        now_s = lean.now_s()
         self.view.detect_suspension(now_s)
         try:
             self.view.apply_update(link.peer, feed.decode(payload, link.peer, now_s), now_s)
@@ -344,6 +373,21 @@
             self._output.write(events.DATAGRAM_REFUSED, error.step, link.peer, error.reason)
         self._tell()
 
+    def _take_grant(self, link: links.Link, payload: bytes, now_s: float) -> None:
+        try:
+            self._holder.take_grant(payload, now_s)
+        except errors.DatagramError as error:
+            self._output.write(events.DATAGRAM_REFUSED, error.step, link.peer, error.reason)
+        self._release(now_s)
+
+    def _ask_for_shares(self, now_s: float) -> None:
+        """Asks all control VMs that this VM follows; only the leader answers."""
+        request = None if self._holder is None else self._holder.take_request(now_s)
+        if request is not None:
+            self.counters.events["share_requests"] += 1
+            for dialler in self._diallers.values():
+                dialler.link.send(links.Kind.SHARE_REQUEST, request)
+
     # Time
 
     @property
@@ -376,6 +420,7 @@
             self.steering.tick(now_s)
             self._release(now_s)
             self._schedule_pacer(now_s)
+            self._ask_for_shares(now_s)
             self._follow()
             self._tell()
 
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -3,6 +3,7 @@
 import binascii
 import functools
 import json
+import math
 import zlib
 from collections.abc import Iterable
 
@@ -77,7 +78,8 @@
         target.zone,
         target.slot_count,
         int(target.state),
-        round(max(0.0, target.warm_at_s - now_s), 2),
+        # Rounded up, so that no VM takes the target for warm too soon.
+        math.ceil(max(0.0, target.warm_at_s - now_s) * 100) / 100,
         round(observation.age_s, 2),
         observation.is_silent,
         *order,
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -20,6 +20,8 @@
         contact_s: After a fault, time within which all reachable VMs are connected again.
         stop_limit_s: A planned stop has to end by then.
         metrics: Where counters are served, or None.
+        cold_overage: Factor on the openings a second that a cold target bears; None for no limit.
+        cold_slack: Openings a second that a cold target may get beyond that.
     """
 
     name: str
@@ -32,6 +34,8 @@
     contact_s: float
     stop_limit_s: float
     metrics: tuple[str, int] | None = None
+    cold_overage: float | None = None
+    cold_slack: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         """Checks what no later step would notice."""
@@ -40,6 +44,9 @@
         for field in ("announcement_interval_s", "flow_life_s", "contact_s", "stop_limit_s"):
             if not getattr(self, field) > 0:
                 raise self._error(field, "not above 0")
+        for field in ("cold_overage", "cold_slack"):
+            if not (getattr(self, field) or 0) >= 0:
+                raise self._error(field, "below 0")
 
     def _error(self, field: str, reason: str) -> errors.SettingsError:
         return errors.SettingsError(step="check settings", peer=field, reason=reason)
--- a/zinniaspoke/pacing.py
+++ b/zinniaspoke/pacing.py
@@ -43,6 +43,7 @@
         flow: Key of its flow.
         sequence: Position of its payload in the flow; None where a copy must not replace it.
         is_opening: Whether it opens a flow or refuses to; sent before all others.
+        deadline_s: It is not sent later; None where being late does no harm.
         queued_s: When it was queued.
         first_queued_s: When the first copy of it was queued.
     """
@@ -52,6 +53,7 @@
     flow: bytes
     sequence: int | None = None
     is_opening: bool = False
+    deadline_s: float | None = None
     queued_s: float = 0.0
     first_queued_s: float = 0.0
 
--- a/zinniaspoke/roster.py
+++ b/zinniaspoke/roster.py
@@ -13,6 +13,8 @@
 # Ended targets are kept this much longer than the deployment's bound on the age of flows; flows
 # that are older than the bound may be dropped.
 RETAIN_SLACK_S = 30.0
+# A warm-up that ends this much later than was known began anew; less is the delay of messages.
+COLD_AGAIN_S = 0.5
 STALE = errors.Nothing(reason="stale_announcement")
 
 
@@ -247,9 +249,14 @@
             return STALE
         is_change = (target.order_ms, target.state) != (known.target.order_ms, known.target.state)
         is_moved = target.address != known.target.address or target.service != known.target.service
+        is_cold_again = (
+            target.warm_at_s > now_s and target.warm_at_s > known.target.warm_at_s + COLD_AGAIN_S
+        )
         known.target = target
         known.dispute, known.is_end_inferred = None, False
         self._renew(known, heard_s, now_s)
+        if is_cold_again:
+            self._mark_changed(known)
         if is_change or is_moved:
             self._mark_changed(known)
             self._resolve_address_conflict(known)
--- a/zinniaspoke/rules.py
+++ b/zinniaspoke/rules.py
@@ -1,4 +1,4 @@
-"""Parser of rule files: one rule per line, each with a comment on who asked for it and why."""
+"""Parser of rule files: a rule or a service's options per line, each with who asked and why."""
 
 import ipaddress
 from collections.abc import Callable
@@ -10,8 +10,10 @@
 SIZE_LIMIT_BYTES = 16 * 1024 * 1024
 PROTOCOLS = {"tcp": packets.TCP, "udp": packets.UDP}
 WORK_CLASSES = ("short", "long")
+SERVICE_KEYWORD = "service"
 
 _OPTIONS: dict[str, Callable[[str], object]] = {}
+_SERVICE_OPTIONS: dict[str, Callable[[str], object]] = {}
 
 
 def _option(name: str) -> Callable:
@@ -24,6 +26,26 @@
     return register
 
 
+def _service_option(name: str) -> Callable:
+    """Registers the parser of one option of a service line under its name."""
+
+    def register(parse: Callable[[str], object]) -> Callable[[str], object]:
+        _SERVICE_OPTIONS[name] = parse
+        return parse
+
+    return register
+
+
+@_service_option("cold_per_s")
+def _parse_cold_rate(text: str) -> float:
+    return _number_from_zero("cold_per_s", text)
+
+
+@_service_option("cold_start_s")
+def _parse_cold_start(text: str) -> float:
+    return _number_from_zero("cold_start_s", text)
+
+
 @_option("class")
 def _parse_class(text: str) -> str:
     if text not in WORK_CLASSES:
@@ -72,6 +94,32 @@
     return value
 
 
+def _number_from_zero(name: str, text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e6:
+        raise ValueError(f"{name} is a number from 0 up and below 1000000, not {text!r}")
+    return value
+
+
+@attrs.frozen(kw_only=True)
+class ServiceOptions:
+    """What a rule file says of a service as a whole.
+
+    Attributes:
+        cold_per_s: Openings a second that a cold target bears; None for no limit.
+        cold_start_s: How long a target is cold after its start; None if not told.
+    """
+
+    cold_per_s: float | None = None
+    cold_start_s: float | None = None
+
+
+NO_SERVICE_OPTIONS = ServiceOptions()
+
+
 @attrs.frozen(kw_only=True)
 class Rule:
     """A rule: which service handles the flows to one service address.
@@ -152,12 +200,14 @@
         content: The file's bytes.
         rules: The rules by service key.
         by_text: The rules by the text of their lines, to be reused by the next parse.
+        service_options: The options by service; services without a line are missing.
     """
 
     number: int
     content: bytes
     rules: dict[bytes, Rule]
     by_text: dict[str, Rule] = attrs.field(factory=dict)
+    service_options: dict[str, ServiceOptions] = attrs.field(factory=dict)
 
     def services(self) -> frozenset[str]:
         """Returns the names of all services in the rules and their splits."""
@@ -190,10 +240,17 @@
         raise _error(f"file is not UTF-8 at byte {error.start}") from error
     by_key: dict[bytes, Rule] = {}
     by_text: dict[str, Rule] = {}
+    service_options: dict[str, ServiceOptions] = {}
     problems: list[str] = []
     for line, line_text in enumerate(text.splitlines(), start=1):
         if not line_text.strip() or line_text.lstrip().startswith("#"):
             continue
+        if _is_service_line(line_text):
+            try:
+                _add_service(service_options, line_text)
+            except ValueError as error:
+                problems.append(f"line {line}: {error}")
+            continue
         try:
             rule = previous.by_text.get(line_text) or _parse_line(line, line_text)
         except ValueError as error:
@@ -207,34 +264,89 @@
         by_key[rule.key] = rule
     if problems:
         raise _error("; ".join(problems))
-    return RuleSet(number=number, content=content, rules=by_key, by_text=by_text)
+    return RuleSet(
+        number=number,
+        content=content,
+        rules=by_key,
+        by_text=by_text,
+        service_options=service_options,
+    )
+
+
+def parse_services(content: bytes) -> dict[str, ServiceOptions]:
+    """Reads only the service lines of a valid rule file.
+
+    Args:
+        content: The file's bytes.
+
+    Returns:
+        The options by service.
+
+    Raises:
+        ValueError: A service line is not valid, which an accepted file cannot have.
+    """
+    found: dict[str, ServiceOptions] = {}
+    for line_text in content.decode("utf-8").splitlines():
+        if _is_service_line(line_text):
+            _add_service(found, line_text)
+    return found
+
+
+def _is_service_line(line_text: str) -> bool:
+    return line_text.split(None, 1)[:1] == [SERVICE_KEYWORD]
+
+
+def _add_service(found: dict[str, ServiceOptions], line_text: str) -> None:
+    words = _split_comment(line_text).words
+    if len(words) < 2:
+        raise ValueError("expected: service NAME [OPTION=VALUE …] # who and why")
+    name = words[1]
+    _check_service(name)
+    if name in found:
+        raise ValueError(f"service {name!r} has two lines")
+    found[name] = ServiceOptions(**_parse_options(words[2:], _SERVICE_OPTIONS))
 
 
 def _error(reason: str) -> errors.RuleError:
     return errors.RuleError(step="check rule file", peer="operator", reason=reason)
 
 
-def _parse_line(line: int, line_text: str) -> Rule:
+@attrs.frozen(kw_only=True)
+class _Statement:
+    words: list[str]
+    comment: str
+
+
+def _split_comment(line_text: str) -> _Statement:
     statement, separator, comment = line_text.partition("#")
     if not separator or not comment.strip():
         raise ValueError("no comment on who asked for the rule and why")
-    words = statement.split()
+    return _Statement(words=statement.split(), comment=comment.strip())
+
+
+def _check_service(service: str) -> None:
+    if not service.replace("-", "").replace("_", "").isalnum():
+        raise ValueError(f"service {service!r} has characters other than letters, digits, - and _")
+
+
+def _parse_line(line: int, line_text: str) -> Rule:
+    statement = _split_comment(line_text)
+    words = statement.words
     if len(words) < 3:
         raise ValueError("expected: ADDRESS PROTOCOL SERVICE [OPTION=VALUE …] # who and why")
     address, port = _parse_address(words[0])
     if words[1] not in PROTOCOLS:
         raise ValueError(f"protocol is one of {', '.join(PROTOCOLS)}, not {words[1]!r}")
     service = words[2]
-    if not service.replace("-", "").replace("_", "").isalnum():
-        raise ValueError(f"service {service!r} has characters other than letters, digits, - and _")
+    _check_service(service)
     return Rule(
         address=address,
         port=port,
         protocol=PROTOCOLS[words[1]],
         service=service,
-        comment=comment.strip(),
+        comment=statement.comment,
         line=line,
-        **_parse_options(words[3:]),
+        **_parse_options(words[3:], _OPTIONS),
     )
 
 
@@ -249,16 +361,16 @@
     return address.packed, int(port_text)
 
 
-def _parse_options(words: list[str]) -> dict[str, object]:
+def _parse_options(
+    words: list[str], known: dict[str, Callable[[str], object]]
+) -> dict[str, object]:
     options: dict[str, object] = {}
     for word in words:
         name, separator, value = word.partition("=")
-        if not separator or name not in _OPTIONS:
-            raise ValueError(
-                f"unknown option {word!r}, expected one of {', '.join(sorted(_OPTIONS))}"
-            )
+        if not separator or name not in known:
+            raise ValueError(f"unknown option {word!r}, expected one of {', '.join(sorted(known))}")
         field = "work_class" if name == "class" else name
         if field in options:
             raise ValueError(f"option {name!r} is given twice")
-        options[field] = _OPTIONS[name](value)
+        options[field] = known[name](value)
     return options
--- a/zinniaspoke/selection.py
+++ b/zinniaspoke/selection.py
@@ -10,12 +10,15 @@
 
 import attrs
 
-from zinniaspoke import choosing, errors
+from zinniaspoke import choosing, coldshares, errors
 
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
 REFUSED_EVACUATED = errors.Nothing(reason="refused_evacuated")
 # Not final: the opening waits for a target with capacity.
 NO_CAPACITY = errors.Nothing(reason="no_place")
+# After an evacuation a zone's targets get new flows by and by over this time: their queues are
+# empty, so all entry VMs would choose them at the same moment.
+RAMP_S = 3.0
 
 
 class View(Protocol):
@@ -23,9 +26,11 @@
 
     Attributes:
         evacuated_zones: Availability zones whose targets get no new flows.
+        returned_s: When each zone whose evacuation ended was given back.
     """
 
     evacuated_zones: frozenset[str]
+    returned_s: dict[str, float]
 
 
 @attrs.frozen(kw_only=True)
@@ -49,11 +54,13 @@
         view: Rules and targets that this VM knows.
         rng: Seeded random source.
         own_zone: This VM's availability zone; empty if not known.
+        holder: This VM's shares of the limits of cold targets; None where there are no limits.
     """
 
     view: View
     rng: random.Random
     own_zone: str = ""
+    holder: coldshares.Holder | None = None
 
 
 Loads = Sequence[choosing.Load]
@@ -115,6 +122,22 @@
     return exclude
 
 
+@register("cold", order=20, reason=NO_CAPACITY)
+def _make_cold(context: Context) -> Filter | None:
+    """Excludes cold targets to which no more openings may be sent now, whatever remains."""
+    holder = context.holder
+    if holder is None:
+        return None
+
+    def exclude(loads: Loads, query: Query) -> Loads:
+        left = [load for load in loads if holder.has_room(load.target, query.now_s)]
+        if len(left) < len(loads):
+            holder.counters.events["cold_kept_off"] += 1
+        return left
+
+    return exclude
+
+
 @register("health", order=30, reason=REFUSED_NO_TARGET)
 def _make_health(_context: Context) -> Filter:
     """Excludes suspected and silent targets while others are left."""
@@ -135,6 +158,25 @@
     return exclude
 
 
+@register("return", order=60, reason=NO_CAPACITY)
+def _make_return(context: Context) -> Filter:
+    """Excludes the targets of a returned zone by chance, less and less, while others are left."""
+    holder = context.holder
+    delay_s = 0.0 if holder is None else holder.distrust_s
+
+    def exclude(loads: Loads, query: Query) -> Loads:
+        ramping = {
+            zone
+            for zone, start_s in context.view.returned_s.items()
+            if context.rng.random() >= (query.now_s - start_s - delay_s) / RAMP_S
+        }
+        if not ramping:
+            return loads
+        return [load for load in loads if load.target.zone not in ramping] or loads
+
+    return exclude
+
+
 # Steps before this place decide which targets may be used; later ones go by their load.
 _USABLE_ORDER_LIMIT = 50
 
@@ -164,12 +206,13 @@
             policy: Name of the placement policy.
         """
         self._choose = choosing.create(policy, context.rng)
+        self._holder = context.holder
         steps = sorted(_STEPS.values(), key=lambda step: step.order)
         made = ((step, step.make(context)) for step in steps)
         self._steps = [(step, exclude) for step, exclude in made if exclude is not None]
 
     def usable(self, loads: Loads, query: Query) -> Loads:
-        """Returns the targets that may be used now, whether or not they have capacity.
+        """Returns the targets that may be used, whether or not they have capacity now.
 
         Args:
             loads: Ready targets of the service.
@@ -178,6 +221,8 @@
         for step, exclude in self._steps:
             if step.order >= _USABLE_ORDER_LIMIT or not loads:
                 break
+            if step.reason is NO_CAPACITY:
+                continue
             loads = exclude(loads, query)
         return loads
 
@@ -201,7 +246,10 @@
             if len(left) < len(loads):
                 decided_by = f"{step.name}:{len(left)}"
             loads = left
-        return Selected(load=self._choose(loads, query.now_s), decided_by=decided_by)
+        load = self._choose(loads, query.now_s)
+        if self._holder is not None:
+            self._holder.charge(load.target, query.now_s)
+        return Selected(load=load, decided_by=decided_by)
 
     def trace(self, loads: Loads, query: Query) -> list[tuple[str, Loads]]:
         """Returns the candidates that each step leaves, without selecting one.
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -14,6 +14,7 @@
 from zinniaspoke import (
     backlog,
     choosing,
+    coldshares,
     counters,
     errors,
     flowstate,
@@ -56,6 +57,7 @@
 DROPPED_NOT_FRESH = errors.Nothing(reason="dropped_not_fresh")
 DROPPED_WAITED_TOO_LONG = errors.Nothing(reason="dropped_waited_too_long")
 DROPPED_RULES_CHANGED = errors.Nothing(reason="dropped_rules_changed")
+DROPPED_COLD = errors.Nothing(reason="dropped_cold_target")
 # Ends an open flow without promising anything about its request.
 RESET_UNRESPONSIVE = errors.Nothing(reason="reset_unresponsive_target")
 REFUSALS = (
@@ -120,6 +122,7 @@
         rng: random.Random,
         policy: str = choosing.DEFAULT_POLICY,
         own_zone: str = "",
+        holder: coldshares.Holder | None = None,
     ) -> None:
         """Starts without flows.
 
@@ -128,12 +131,15 @@
             rng: Seeded random source.
             policy: Name of the placement policy.
             own_zone: This VM's availability zone.
+            holder: This VM's shares of cold targets; None where they have no limit.
         """
         self._view = view
+        self._holder = holder
         self._selector = selection.Selector(
-            context=selection.Context(view=view, rng=rng, own_zone=own_zone), policy=policy
+            context=selection.Context(view=view, rng=rng, own_zone=own_zone, holder=holder),
+            policy=policy,
         )
-        self.counters = counters.Counters()
+        self.counters = counters.Counters() if holder is None else holder.counters
         self.newly_suspected: list[roster.Target] = []
         self._flows: dict[bytes, flowstate.Flow] = {}
         self._loads: dict[int, choosing.Load] = {}
@@ -411,17 +417,18 @@
 
     def _steer_retransmission(
         self, flow: flowstate.Flow, packet: Packet, now_s: float
-    ) -> roster.Target:
+    ) -> roster.Target | errors.Nothing:
         """Moves a retransmitted opening to another target, unless the flow is open.
 
-        A copy that arrives too soon was delayed in transit and keeps the target.
+        A copy that arrives too soon was delayed in transit and keeps the target. Each copy to a
+        cold target counts as an opening: the target may have lost the others.
         """
         flow.last_packet_s = now_s
         if (
             flow.stage is flowstate.Stage.OPEN
             or now_s - flow.opening_sent_s < flowstate.MIN_RETRANSMIT_S
         ):
-            return flow.target
+            return self._repeat(flow, now_s)
         # A target that answered another opening meanwhile is reachable; this opening was lost.
         is_unresponsive = flow.load.answered_s < flow.opening_sent_s
         if is_unresponsive and flow.load.record_failure(flow.opening_sent_s, now_s):
@@ -434,7 +441,13 @@
             flow.move(other.load)
             flow.decided_by = other.decided_by
             self.counters.events["openings_moved"] += 1
-        return flow.target
+            return flow.target
+        return self._repeat(flow, now_s)
+
+    def _repeat(self, flow: flowstate.Flow, now_s: float) -> roster.Target | errors.Nothing:
+        if self._holder is None or self._holder.charge(flow.target, now_s):
+            return flow.target
+        return DROPPED_COLD
 
     def _complete_handshake(self, flow: flowstate.Flow, packet: Packet, now_s: float) -> None:
         """Opens a flow: its first packet after the opening carries the answering target's token."""
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -56,6 +56,7 @@
         rules: The rules in force.
         targets: Newest records of all targets that may have flows.
         evacuated_zones: Availability zones whose targets get no new flows.
+        returned_s: When each zone whose evacuation ended was given back, on this VM's clock.
         revision: Increases whenever targets or rules may have changed.
         pending_events: Events to log, as event, peer and detail; cleared by whoever logs them.
     """
@@ -82,6 +83,7 @@
         self._contact_s = contact_s
         self.rules = rulebook.RuleBook()
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.returned_s: dict[str, float] = {}
         self.targets = roster.Roster(silent_after_s=contact_s, retain_s=retain_s)
         self.revision = 0
         self.pending_events: list[tuple[events.Event, str, str]] = []
