Prefer targets of the own availability zone, spilling over by measured times

Cause: placement ignored where a target stands, so two thirds of the flows paid the way to another zone and were lost when it was cut off. Resets: a span counts unless its packet found others waiting for this VM's link when it came; the link had to be idle for the whole wait, now up to 1.4 s.

--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -293,6 +293,21 @@
     assert test_steering.retransmit(vm, flow(number), callers.flows[number], (0.2, 0.6)) is None
 
 
+def test_link_that_is_busy_between_the_copies_does_not_delay_a_reset():
+    """On a link of 2 Mbit/s some packets wait for it nearly every second."""
+    callers = Callers(target_count=6)
+    callers.open_flows(12)
+    callers.dark.add(callers.flows[0].identity)
+    callers.at(100.0, callers.ask, 0, 10)
+    for number in range(1, 12):
+        if callers.flows[number].identity not in callers.dark:
+            callers.at(100.0 + number / 10, callers.ask, number, 10)
+    for time_s in (100.1, 100.45, 100.9, 101.2):
+        callers.at(time_s, callers.vms[0].core.record_link_busy, time_s)
+    callers.run(5.0)
+    assert [(number, round(wait_s, 1)) for _, number, _, wait_s in callers.resets] == [(0, 1.4)]
+
+
 def test_vm_that_hears_nothing_at_all_resets_nothing():
     """This VM's own link is harmed: every target seems dark."""
     callers = Callers(target_count=6)
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -126,6 +126,7 @@
             view=self.view,
             rng=rng,
             own_zone=config.zone,
+            zone_preference=config.zone_preference,
         )
         self._pacer = (
             pacing.Pacer(bytes_per_s=config.link_bytes_per_s, counts=self.steering.counters)
--- a/zinniaspoke/flowstate.py
+++ b/zinniaspoke/flowstate.py
@@ -54,6 +54,11 @@
     is_counted: bool = True
     decided_by: str = ""
 
+    @property
+    def request_s(self) -> float:
+        """Time from its last new payload to its last packet."""
+        return self.last_packet_s - self.payload_sent_s
+
     def record_payload(self, sequence: int, has_response: bool) -> bool:
         """Counts a payload that is forwarded: a new one, or a retransmission.
 
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -83,12 +83,14 @@
         ready: Where the fabric asks whether this VM is ready.
         flow_location: How a flow's target is found; see ``location``.
         link_bytes_per_s: Bandwidth of its link; 0 where packets are sent as they come.
+        zone_preference: Whether targets of its availability zone are preferred.
     """
 
     packets: tuple[str, int]
     ready: tuple[str, int]
     flow_location: str = "tokens"
     link_bytes_per_s: float = 0.0
+    zone_preference: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Checks what no later step would notice."""
--- a/zinniaspoke/resets.py
+++ b/zinniaspoke/resets.py
@@ -3,6 +3,7 @@
 See ``docs/design/resets.md`` for the evidence and the probabilities.
 """
 
+import collections
 import math
 from collections.abc import Iterable
 
@@ -29,6 +30,9 @@
 ZONE_TARGET_COUNT = 3
 ZONE_RETRANSMIT_COUNT = 2
 RECORD_LIMIT = 256
+# Packets that arrive so soon after each other find the link in one busy time.
+BUSY_GAP_S = 0.05
+BUSY_COUNT_LIMIT = 64
 
 TARGET_ENDED = "target_ended"
 TARGET_SILENT = "target_silent"
@@ -85,6 +89,21 @@
         self._targets: dict[int, Silence] = {}
         self._zones: dict[str, Silence] = {}
         self._ended_s: dict[int, float] = {}
+        self._busy: collections.deque[list[float]] = collections.deque(maxlen=BUSY_COUNT_LIMIT)
+
+    def record_link_busy(self, now_s: float) -> None:
+        """Records that packets wait for this VM's link, so that what is sent now is delayed.
+
+        Args:
+            now_s: Current time.
+        """
+        if self._busy and now_s - self._busy[-1][1] <= BUSY_GAP_S:
+            self._busy[-1][1] = now_s
+        else:
+            self._busy.append([now_s, now_s])
+
+    def _was_busy(self, time_s: float) -> bool:
+        return any(start_s <= time_s <= end_s for start_s, end_s in self._busy)
 
     @property
     def needed_spans(self) -> int:
@@ -112,11 +131,15 @@
     def note_unanswered(self, load: choosing.Load, sent_s: float, now_s: float) -> None:
         """Counts a packet with bytes of a request that was retransmitted.
 
+        One that had to wait for this VM's link does not count.
+
         Args:
             load: Its target.
             sent_s: When it was sent.
             now_s: Current time.
         """
+        if self._was_busy(sent_s):
+            return
         token = load.target.token
         if len(self._targets) > RECORD_LIMIT:
             oldest_s = now_s - EVIDENCE_S
@@ -153,7 +176,7 @@
         """
         load = flow.load
         if flow.unanswered_sent_s >= self._ended_s.get(load.target.token, math.inf):
-            return TARGET_ENDED
+            return "" if self._was_busy(flow.unanswered_sent_s) else TARGET_ENDED
         alive_s = max(load.heard_s, load.answered_s)
         if alive_s > flow.payload_sent_s:
             return ""
--- a/zinniaspoke/selection.py
+++ b/zinniaspoke/selection.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from zinniaspoke import choosing, errors
+from zinniaspoke import choosing, counters, errors
 
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
 REFUSED_EVACUATED = errors.Nothing(reason="refused_evacuated")
@@ -41,6 +41,10 @@
     now_s: float
 
 
+# Takes a request's target and route, the time that it took and the current time.
+Observer = Callable[[choosing.Load, bytes, float, float], None]
+
+
 @attrs.frozen(kw_only=True)
 class Context:
     """What the steps are built from.
@@ -49,11 +53,17 @@
         view: Rules and targets that this VM knows.
         rng: Seeded random source.
         own_zone: This VM's availability zone; empty if not known.
+        zone_preference: Whether targets of the own zone are preferred.
+        counts: Counters of this process.
+        observers: Called with each request's target, route, duration and time; steps add theirs.
     """
 
     view: View
     rng: random.Random
     own_zone: str = ""
+    zone_preference: bool = False
+    counts: counters.Counters = attrs.field(factory=counters.Counters)
+    observers: list[Observer] = attrs.field(factory=list)
 
 
 Loads = Sequence[choosing.Load]
@@ -167,6 +177,7 @@
         steps = sorted(_STEPS.values(), key=lambda step: step.order)
         made = ((step, step.make(context)) for step in steps)
         self._steps = [(step, exclude) for step, exclude in made if exclude is not None]
+        self._observers = context.observers
 
     def usable(self, loads: Loads, query: Query) -> Loads:
         """Returns the targets that may be used now, whether or not they have capacity.
@@ -203,6 +214,20 @@
             loads = left
         return Selected(load=self._choose(loads, query.now_s), decided_by=decided_by)
 
+    def record_response(
+        self, load: choosing.Load, route: bytes, duration_s: float, now_s: float
+    ) -> None:
+        """Tells the steps how long a target took for a request.
+
+        Args:
+            load: The target.
+            route: The request's route.
+            duration_s: From the request's last new packet to the first bytes of the response.
+            now_s: Current time.
+        """
+        for observe in self._observers:
+            observe(load, route, duration_s, now_s)
+
     def trace(self, loads: Loads, query: Query) -> list[tuple[str, Loads]]:
         """Returns the candidates that each step leaves, without selecting one.
 
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -22,9 +22,12 @@
     rules,
     selection,
     subscription,
+    zonechoice,
     zones,
 )
 
+# Imported so that their steps are registered.
+STEP_MODULES = (zonechoice,)
 # Callers send an opening at these times after the first one, and time out at CONNECT_TIMEOUT_S.
 RETRANSMIT_TIMES_S = (0.0, 0.2, 0.6)
 CONNECT_TIMEOUT_S = 1.4
@@ -82,6 +85,7 @@
         rng: random.Random,
         policy: str = choosing.DEFAULT_POLICY,
         own_zone: str = "",
+        zone_preference: bool = False,
     ) -> None:
         """Starts without flows.
 
@@ -90,12 +94,18 @@
             rng: Seeded random source.
             policy: Name of the placement policy.
             own_zone: This VM's availability zone.
+            zone_preference: Whether targets of that zone are preferred.
         """
         self._view = view
-        self._selector = selection.Selector(
-            context=selection.Context(view=view, rng=rng, own_zone=own_zone), policy=policy
-        )
         self.counters = counters.Counters()
+        context = selection.Context(
+            view=view,
+            rng=rng,
+            own_zone=own_zone,
+            zone_preference=zone_preference,
+            counts=self.counters,
+        )
+        self._selector = selection.Selector(context=context, policy=policy)
         self.newly_suspected: list[roster.Target] = []
         self._flows: dict[bytes, flowstate.Flow] = {}
         self._loads: dict[int, choosing.Load] = {}
@@ -110,7 +120,6 @@
         self._sent_openings = collections.deque[tuple[float, flowstate.Flow]]()
         self._revision = -1
         self._swept_s = 0.0
-        self._link_busy_s = -1e9
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -196,7 +205,7 @@
             self._update_load(flow, packet)
         if packet.kind is not Kind.DATA:
             self._close(flow)
-        elif flow.retransmit_count and self._link_busy_s < flow.payload_sent_s:
+        elif flow.retransmit_count:
             return self._judge_open(flow, packet, now_s)
         return flow.target
 
@@ -238,7 +247,7 @@
         Args:
             now_s: Current time.
         """
-        self._link_busy_s = now_s
+        self._judge.record_link_busy(now_s)
 
     def _judge_open(
         self, flow: flowstate.Flow, packet: Packet, now_s: float
@@ -433,10 +442,14 @@
             flow.retransmit_count = 0
         if packet.has_payload:
             is_repeated = flow.record_payload(packet.sequence, has_response)
-            if is_repeated and self._link_busy_s < flow.unanswered_sent_s:
+            if is_repeated:
                 self._judge.note_unanswered(flow.load, flow.unanswered_sent_s, flow.last_packet_s)
             flow.count_as_load()
         elif has_response:
+            if flow.is_counted and flow.sequence >= 0:
+                self._selector.record_response(
+                    flow.load, packet.route, flow.request_s, flow.last_packet_s
+                )
             self._finish_request(flow)
 
     def _finish_request(self, flow: flowstate.Flow) -> None:
