Merge preference of the own availability zone

Cause: placement ignored where a target stands, so flows paid the way to other zones and were lost when these were cut off. Change: merges the zone step, which spills over by measured times.

--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -137,6 +137,7 @@
             rng=rng,
             own_zone=config.zone,
             hedge_share=config.hedge_share,
+            zone_preference=config.zone_preference,
             **({} if self._holder is None else {"holder": self._holder}),
         )
         self._pacer = (
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -93,6 +93,7 @@
         flow_location: How a flow's target is found; see ``location``.
         link_bytes_per_s: Bandwidth of its link; 0 where packets are sent as they come.
         hedge_share: Largest share of openings that may be hedged; 0 for none. See ``hedging``.
+        zone_preference: Whether targets of its availability zone are preferred.
     """
 
     packets: tuple[str, int]
@@ -100,6 +101,7 @@
     flow_location: str = "tokens"
     link_bytes_per_s: float = 0.0
     hedge_share: float = 0.0
+    zone_preference: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Checks what no later step would notice."""
--- a/zinniaspoke/selection.py
+++ b/zinniaspoke/selection.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from zinniaspoke import choosing, coldshares, errors
+from zinniaspoke import choosing, coldshares, counters, errors
 
 EVACUATION = "evacuation"
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
@@ -47,6 +47,10 @@
     now_s: float
 
 
+# Takes a request's target and route, the time that it took and the current time.
+Observer = Callable[[choosing.Load, bytes, float, float], None]
+
+
 @attrs.frozen(kw_only=True)
 class Context:
     """What the steps are built from.
@@ -56,12 +60,18 @@
         rng: Seeded random source.
         own_zone: This VM's availability zone; empty if not known.
         holder: This VM's shares of the limits of cold targets; None where there are no limits.
+        zone_preference: Whether targets of the own zone are preferred.
+        counts: Counters of this process.
+        observers: Called with each request's target, route, duration and time; steps add theirs.
     """
 
     view: View
     rng: random.Random
     own_zone: str = ""
     holder: coldshares.Holder | None = None
+    zone_preference: bool = False
+    counts: counters.Counters = attrs.field(factory=counters.Counters)
+    observers: list[Observer] = attrs.field(factory=list)
 
 
 Loads = Sequence[choosing.Load]
@@ -217,6 +227,7 @@
         steps = sorted(_STEPS.values(), key=lambda step: step.order)
         made = ((step, step.make(context)) for step in steps)
         self._steps = [(step, exclude) for step, exclude in made if exclude is not None]
+        self._observers = context.observers
 
     def usable(self, loads: Loads, query: Query) -> Loads:
         """Returns the targets that may be used, whether or not they have capacity now.
@@ -258,6 +269,20 @@
             self._holder.charge(load.target, query.now_s)
         return Selected(load=load, steps=tuple(steps), left_count=len(loads))
 
+    def record_response(
+        self, load: choosing.Load, route: bytes, duration_s: float, now_s: float
+    ) -> None:
+        """Tells the steps how long a target took for a request.
+
+        Args:
+            load: The target.
+            route: The request's route.
+            duration_s: From the request's last new packet to the first bytes of the response.
+            now_s: Current time.
+        """
+        for observe in self._observers:
+            observe(load, route, duration_s, now_s)
+
     def trace(self, loads: Loads, query: Query) -> list[tuple[str, Loads]]:
         """Returns the candidates that each step leaves, without selecting one.
 
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -24,9 +24,12 @@
     rules,
     selection,
     subscription,
+    zonechoice,
     zones,
 )
 
+# Imported so that their steps are registered.
+STEP_MODULES = (zonechoice,)
 # Callers send an opening at these times after the first one, and time out at CONNECT_TIMEOUT_S.
 RETRANSMIT_TIMES_S = (0.0, 0.2, 0.6)
 CONNECT_TIMEOUT_S = 1.4
@@ -86,6 +89,7 @@
         policy: str = choosing.DEFAULT_POLICY,
         own_zone: str = "",
         hedge_share: float = 0.0,
+        zone_preference: bool = False,
         holder: coldshares.Holder | None = None,
     ) -> None:
         """Starts without flows.
@@ -96,17 +100,23 @@
             policy: Name of the placement policy.
             own_zone: This VM's availability zone.
             hedge_share: Largest share of openings that may be hedged.
+            zone_preference: Whether targets of that zone are preferred.
             holder: This VM's shares of cold targets; None where they have no limit.
         """
         self._view = view
         self._own_zone = own_zone
         self._hedger = hedging.Hedger(share=hedge_share)
         self._holder = holder
-        self._selector = selection.Selector(
-            context=selection.Context(view=view, rng=rng, own_zone=own_zone, holder=holder),
-            policy=policy,
-        )
         self.counters = counters.Counters() if holder is None else holder.counters
+        context = selection.Context(
+            view=view,
+            rng=rng,
+            own_zone=own_zone,
+            zone_preference=zone_preference,
+            holder=holder,
+            counts=self.counters,
+        )
+        self._selector = selection.Selector(context=context, policy=policy)
         self.newly_suspected: list[roster.Target] = []
         self._flows: dict[bytes, flowstate.Flow] = {}
         self._loads: dict[int, choosing.Load] = {}
@@ -122,7 +132,6 @@
         self._sent_openings = collections.deque[tuple[float, flowstate.Flow]]()
         self._revision = -1
         self._swept_s = 0.0
-        self._link_busy_s = -1e9
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -208,7 +217,7 @@
             self._update_load(flow, packet)
         if packet.kind is not Kind.DATA:
             self._close(flow)
-        elif flow.retransmit_count and self._link_busy_s < flow.payload_sent_s:
+        elif flow.retransmit_count:
             return self._judge_open(flow, packet, now_s)
         return flow.target
 
@@ -251,7 +260,7 @@
         Args:
             now_s: Current time.
         """
-        self._link_busy_s = now_s
+        self._judge.record_link_busy(now_s)
 
     def _judge_open(
         self, flow: flowstate.Flow, packet: Packet, now_s: float
@@ -489,10 +498,14 @@
             flow.retransmit_count = 0
         if packet.has_payload:
             is_repeated = flow.record_payload(packet.sequence, has_response)
-            if is_repeated and self._link_busy_s < flow.unanswered_sent_s:
+            if is_repeated:
                 self._judge.note_unanswered(flow.load, flow.unanswered_sent_s, flow.last_packet_s)
             flow.count_as_load()
         elif has_response:
+            if flow.is_counted and flow.sequence >= 0:
+                self._selector.record_response(
+                    flow.load, packet.route, flow.request_s, flow.last_packet_s
+                )
             self._finish_request(flow)
 
     def _finish_request(self, flow: flowstate.Flow) -> None:
