Urgent work first on a narrow link, uploads carried whole, a few at a time

Cause: with fair turns every upload of a burst gets the same trickle, and all are late. Change: rule options urgency, aim_s and deadline_s; bulk flows are ordered so that most reach their aim; openings beyond what the link takes at once are held or refused.

--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -7,6 +7,7 @@
 import socket
 
 from zinniaspoke import (
+    admission,
     counters,
     errors,
     events,
@@ -16,6 +17,7 @@
     pacing,
     ports,
     roster,
+    rules,
     siblings,
     steering,
     subscription,
@@ -35,6 +37,8 @@
 STATES_POLL_S = 0.01
 # Share of the time that a planned stop is given; the rest is for a slow processor.
 STOP_SHARE = 0.8
+# Reasons for which a caller is told that its opening is refused.
+REFUSALS = (*steering.REFUSALS, admission.REFUSED_NO_ROOM)
 
 
 class PacketCodec(abc.ABC):
@@ -128,6 +132,11 @@
             if config.link_bytes_per_s
             else None
         )
+        self._admission = (
+            admission.Admission(pacer=self._pacer, counts=self.steering.counters)
+            if self._pacer is not None
+            else None
+        )
         self._pacer_timer: asyncio.TimerHandle | None = None
         # Packets that the pacer had dropped when that was last logged.
         self._link_drops = 0
@@ -199,11 +208,34 @@
         if isinstance(packet, errors.Nothing):
             self._drop(packet.reason)
             return
+        rule = self._rule_of(packet)
+        if rule is not None and rule.is_bulk and not self._is_admitted(packet, rule, now_s):
+            return
+        self._steer(packet, rule, now_s)
+
+    def _rule_of(self, packet: steering.Packet) -> rules.Rule | None:
+        """Returns the rule of a packet that is paced, if there is one."""
+        if self._pacer is None:
+            return None
+        found = self.steering.rule_of(packet)
+        return None if isinstance(found, errors.Nothing) else found
+
+    def _is_admitted(self, packet: steering.Packet, rule: rules.Rule, now_s: float) -> bool:
+        if packet.kind is not steering.Kind.OPENING:
+            if packet.kind is not steering.Kind.DATA:
+                self._admission.cancel(packet.flow)
+            return True
+        reason = self._admission.consider(packet, rule, now_s)
+        if reason is not None:
+            self._turn_away(packet, reason, now_s)
+        return reason is None
+
+    def _steer(self, packet: steering.Packet, rule: rules.Rule | None, now_s: float) -> None:
         found = self.steering.steer(packet, now_s)
         if isinstance(found, errors.Nothing):
             self._turn_away(packet, found, now_s)
             return
-        self._send_packet(packet, found, now_s)
+        self._send_packet(packet, found, rule, now_s)
         if packet.kind is steering.Kind.OPENING:
             self._tell_opened(packet, "steer")
 
@@ -213,9 +245,15 @@
         self._output.write(events.FLOW_OPENED, step, peer, detail)
 
     def _release(self, now_s: float) -> None:
-        """Sends on openings that waited for a place, and gives up those that wait in vain."""
+        """Sends on openings that waited for room or a place, and gives up those in vain."""
+        if self._admission:
+            admitted, refused = self._admission.take_released(now_s)
+            for packet in admitted:
+                self._steer(packet, self._rule_of(packet), now_s)
+            for packet in refused:
+                self._turn_away(packet, admission.REFUSED_NO_ROOM, now_s)
         for packet, target in self.steering.take_released(now_s):
-            self._send_packet(packet, target, now_s)
+            self._send_packet(packet, target, self._rule_of(packet), now_s)
             self._tell_opened(packet, "release")
         for packet, reason in self.steering.take_rejected():
             self._turn_away(packet, reason, now_s)
@@ -225,19 +263,19 @@
         detail = (
             f"{reason.reason}, rules {self.view.rules.number}, {len(self.view.targets)} targets"
         )
-        if reason is steering.WAITING:
+        if reason is steering.WAITING or reason is admission.HELD:
             self.counters.events[reason.reason] += 1
             self._output.write(events.FLOW_WAITS, "steer", self._codec.describe(data), detail)
             return
         self._drop(reason.reason)
-        if reason in steering.REFUSALS or reason is steering.RESET_UNRESPONSIVE:
+        if reason in REFUSALS or reason is steering.RESET_UNRESPONSIVE:
             host, answer = self._codec.reset(packet)
             endpoint = (host, self.config.packets[1])
             self._submit(
                 pacing.Datagram(data=answer, endpoint=endpoint, flow=packet.flow, is_opening=True),
                 now_s,
             )
-            is_refusal = reason in steering.REFUSALS
+            is_refusal = reason in REFUSALS
             event = events.FLOW_REFUSED if is_refusal else events.FLOW_RESET
             if not is_refusal:
                 detail = f"{detail}, {self.steering.explain(packet.flow)}"
@@ -250,7 +288,13 @@
 
     # Sending at the link's pace
 
-    def _send_packet(self, packet: steering.Packet, target: roster.Target, now_s: float) -> None:
+    def _send_packet(
+        self,
+        packet: steering.Packet,
+        target: roster.Target,
+        rule: rules.Rule | None,
+        now_s: float,
+    ) -> None:
         if packet.kind is steering.Kind.RESET and self._pacer is not None:
             self._pacer.cancel(packet.flow)
         self._submit(
@@ -260,6 +304,8 @@
                 flow=packet.flow,
                 sequence=packet.sequence if packet.has_payload else None,
                 is_opening=packet.kind is steering.Kind.OPENING,
+                rule=rule,
+                ends_flow=packet.kind is steering.Kind.END,
             ),
             now_s,
         )
@@ -286,6 +332,8 @@
         now_s = lean.now_s()
         for datagram in self._pacer.take_due(now_s):
             self._send(datagram)
+        if self._admission:
+            self._release(now_s)
         self._schedule_pacer(now_s)
 
     def metrics(self) -> bytes:
@@ -298,6 +346,8 @@
         }
         if self._pacer is not None:
             gauges["link_queued_bytes"] = self._pacer.queued_bytes
+            gauges["link_queued_bulk_bytes"] = self._pacer.bulk_bytes
+            gauges["link_held_openings"] = len(self._admission)
         return exposition.render(self.counters, gauges)
 
     # Control VMs
@@ -405,7 +455,7 @@
         self._enter(siblings.State.LEFT)
         left_s = lean.now_s()
         while (now_s := lean.now_s()) - started_s < most_s:
-            has_waiting = self._pacer or self.steering.queued_count
+            has_waiting = self._pacer or self._admission or self.steering.queued_count
             is_quiet = now_s - self._packet_s > LEAVE_QUIET_S and not has_waiting
             if now_s - left_s >= least_s and is_quiet:
                 break
--- a/zinniaspoke/rules.py
+++ b/zinniaspoke/rules.py
@@ -10,6 +10,8 @@
 SIZE_LIMIT_BYTES = 16 * 1024 * 1024
 PROTOCOLS = {"tcp": packets.TCP, "udp": packets.UDP}
 WORK_CLASSES = ("short", "long")
+# The least urgent level is 9; rules without the option are in the middle of what deployments use.
+DEFAULT_URGENCY = 2
 
 _OPTIONS: dict[str, Callable[[str], object]] = {}
 
@@ -48,6 +50,23 @@
     return text == "yes"
 
 
+@_option("urgency")
+def _parse_urgency(text: str) -> int:
+    if not (len(text) == 1 and text.isascii() and text.isdigit()):
+        raise ValueError(f"urgency is a whole number from 0 to 9, not {text!r}")
+    return int(text)
+
+
+@_option("aim_s")
+def _parse_aim(text: str) -> float:
+    return _positive_number("aim_s", text)
+
+
+@_option("deadline_s")
+def _parse_deadline(text: str) -> float:
+    return _positive_number("deadline_s", text)
+
+
 @_option("split")
 def _parse_split(text: str) -> tuple[tuple[str, int], ...]:
     """Parses ``SERVICE:WEIGHT,SERVICE:WEIGHT,…``."""
@@ -87,6 +106,9 @@
         split: Services and weights among which new flows are split; if empty, all new flows go to
             ``service``.
         idempotent: Whether callers may repeat a request whose outcome they do not know.
+        urgency: 0 for the most urgent; decides who goes first where there is too little room.
+        aim_s: Time within which callers want a request done; 0 if unknown.
+        deadline_s: Time after which callers give a request up; 0 if unknown.
         comment: Who asked for the rule and why.
         line: Line number in the file.
     """
@@ -100,6 +122,9 @@
     wait_s: float = 2.0
     split: tuple[tuple[str, int], ...] = ()
     idempotent: bool = False
+    urgency: int = DEFAULT_URGENCY
+    aim_s: float = 0.0
+    deadline_s: float = 0.0
     comment: str
     line: int
 
@@ -128,6 +153,11 @@
         """Whether the work on flows to this address is expected to take long."""
         return self.work_class == "long"
 
+    @property
+    def is_bulk(self) -> bool:
+        """Whether an entry VM's link carries its flows whole, a few at a time."""
+        return self.work_class == "long" and self.aim_s > 0
+
 
 def service_key(protocol: int, address: bytes, port: bytes) -> bytes:
     """Builds the key under which a rule is looked up.
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -269,7 +269,7 @@
         is_sent = self._link_busy_s < flow.payload_sent_s
         if not is_repeated or is_heard or not is_sent:
             return False
-        rule = self._rule_of(packet)
+        rule = self.rule_of(packet)
         return not isinstance(rule, errors.Nothing) and rule.idempotent
 
     def _reset(self, flow: flowstate.Flow, now_s: float) -> errors.Nothing:
@@ -290,7 +290,7 @@
             return DROPPED_NOT_READY
         if not self._view.is_fresh(now_s):
             return DROPPED_NOT_FRESH
-        rule = self._rule_of(packet)
+        rule = self.rule_of(packet)
         if isinstance(rule, errors.Nothing):
             return rule
         service = rule.service_for(hashing.short_hash(packet.flow))
@@ -306,7 +306,12 @@
             return load
         return self._admit(packet, load, now_s)
 
-    def _rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
+    def rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
+        """Returns the rule in force for a packet's service address.
+
+        Args:
+            packet: A caller's packet.
+        """
         found = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
         return REFUSED_NO_ROUTE if isinstance(found, errors.Nothing) else found
 
@@ -386,7 +391,7 @@
                 if isinstance(load, errors.Nothing):
                     break
                 entry = queue.pop()
-                rule = self._rule_of(entry.opening)
+                rule = self.rule_of(entry.opening)
                 flow_hash = hashing.short_hash(entry.flow)
                 if isinstance(rule, errors.Nothing) or rule.service_for(flow_hash) != service:
                     # The caller's next retransmission is handled by the new rules.
