Openings wait by urgency; flows of callers that gave up end; pages on narrow links

Cause: the queue for places at targets knew no urgency, and the pacer carried what was left of uploads whose callers' time had ended. Change: backlog by level, bulk every fifth place; bulk datagrams end at the deadline of their rule; event 408 and counters tell how a link is shared; a copy whose first went elsewhere is not refused.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -407,6 +407,41 @@
     assert not len(flows)
 
 
+def test_flow_whose_caller_gave_up_is_not_carried():
+    """Load: the link is full for longer than callers wait; a late upload would run for nobody."""
+    pacer = make_pacer()
+    pacer.bulk_flows.add(b"u", BULK, 0.0, 0.0)
+    fill(pacer, b"first", 2, None, 8.3)
+    fill(pacer, b"u", 4, BULK, 8.3)
+    sent = pacer.take_due(BULK.deadline_s + 0.1)
+    assert b"u" not in [made.flow for made in sent]
+    assert (pacer.queued_bytes, pacer.bulk_bytes) == (0, 0)
+
+
+def test_flow_that_goes_on_after_its_deadline_is_another_request():
+    """Callers may send many uploads on one flow; its age is not that of the upload."""
+    pacer = make_pacer()
+    pacer.bulk_flows.add(b"u", BULK, 0.0, 0.0)
+    now_s = 2 * BULK.deadline_s
+    fill(pacer, b"first", 2, None, now_s)
+    fill(pacer, b"u", 4, BULK, now_s)
+    assert [made.flow for made in drain(pacer, now_s)].count(b"u") == 4
+    assert pacer.bulk_flows.get(b"u").started_s == now_s
+
+
+def test_payload_after_a_pause_begins_another_request():
+    pacer = make_pacer()
+    pacer.submit(datagram(b"u", 0, BULK), 0.0)
+    pacer.submit(datagram(b"u", 1, BULK), 0.1)
+    pacer.submit(datagram(b"u", None, BULK, size=42), 0.5)
+    flow = pacer.bulk_flows.get(b"u")
+    assert (flow.started_s, flow.carried_bytes) == (0.0, 2 * 1270 + 70)
+    pacer.submit(datagram(b"u", 2, BULK), 2.2)
+    flow = pacer.bulk_flows.get(b"u")
+    assert (flow.started_s, flow.carried_bytes) == (2.2, 1270)
+    assert pacer.bulk_flows.remaining_bytes(flow) == 1270 + 70
+
+
 # The order of bulk flows
 
 
@@ -525,6 +560,22 @@
     assert admitted.consider(opening(b"a", 2), BULK, 0.6) is None
 
 
+def test_copy_whose_first_went_elsewhere_is_never_refused():
+    """Failure: routers change their hash while a caller opens; its first copy may be answered."""
+    admitted, pacer, counts = make_admission()
+    learn_size(pacer, 1_000_000)
+    admitted.consider(opening(b"a"), BULK, 0.0)
+    fill(pacer, b"a", WINDOW, BULK, 0.01)
+    waiting = opening(b"b", 1)
+    assert admitted.consider(waiting, BULK, 0.02) is admission.HELD
+    for number in range(2, admission.HELD_LIMIT + 5):
+        assert admitted.consider(opening(b"%d" % number, 1), BULK, 0.02) in (None, admission.HELD)
+    released, refused = admitted.take_released(1.1)
+    assert waiting in released
+    assert refused == []
+    assert counts.events["bulk_openings_refused"] == 0
+
+
 def test_caller_that_gives_up_is_not_held_any_longer():
     admitted, pacer, _ = make_admission()
     admitted.consider(opening(b"a"), BULK, 0.0)
@@ -545,3 +596,17 @@
         for number in range(admission.HELD_LIMIT + 5)
     ]
     assert decisions.count(admission.HELD) == len(admitted) == admission.HELD_LIMIT
+
+
+def test_link_is_described_at_most_once_a_second_and_only_while_bulk_waits():
+    admitted, pacer, counts = make_admission()
+    assert admitted.take_summary(10.0) is None
+    admitted.consider(opening(b"a"), BULK, 10.0)
+    fill(pacer, b"a", WINDOW, BULK, 10.01)
+    admitted.consider(opening(b"b"), BULK, 10.02)
+    counts.events["link_bytes_bulk"] += 3810
+    text = admitted.take_summary(11.0)
+    assert "3810 bytes of bulk and 0 others" in text
+    assert f"{pacer.bulk_bytes} bytes and 1 openings of bulk wait" in text
+    assert admitted.take_summary(11.9) is None
+    assert "0 bytes of bulk and 0 others sent in 1.0 s" in admitted.take_summary(12.0)
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -260,3 +260,87 @@
         counts = [load.in_flight_count for load in vm.core._loads.values()]
         assert all(0 <= count <= choosing.IN_FLIGHT_PER_SLOT for count in counts)
         assert not vm.core._backlogs["ledger"] or min(counts) == choosing.IN_FLIGHT_PER_SLOT
+
+
+def waiting(number, urgency=2, is_bulk=False, deadline_s=1.4):
+    return backlog.QueuedOpening(
+        flow=flow(number),
+        opening=None,
+        queued_s=0.0,
+        deadline_s=deadline_s,
+        urgency=urgency,
+        is_bulk=is_bulk,
+    )
+
+
+def test_most_urgent_opening_is_forwarded_first_and_among_equals_the_newest():
+    """Load: requests of three urgencies wait for places at the same service."""
+    queue = backlog.Backlog()
+    for number, urgency in enumerate((5, 0, 2, 0, 5)):
+        queue.add(waiting(number, urgency, deadline_s=1.4 + 0.1 * number), 8)
+    assert [queue.pop().flow for _ in range(5)] == [flow(n) for n in (3, 1, 2, 4, 0)]
+    assert not queue
+
+
+def test_bulk_is_forwarded_every_fifth_time_while_urgent_openings_wait():
+    """Load: urgent openings without end beside uploads: neither waits for ever."""
+    queue = backlog.Backlog()
+    for number in range(20):
+        queue.add(waiting(number, urgency=0), 8)
+        queue.add(waiting(100 + number, is_bulk=True), 8)
+    turns = [queue.pop().is_bulk for _ in range(20)]
+    assert turns == [False, False, False, False, True] * 4
+
+
+def test_least_urgent_openings_are_shed_first_and_bulk_keeps_its_part():
+    """Load: a crest leaves places for 19 of 60 openings."""
+    queue = backlog.Backlog()
+    queue.record_duration(1.3)
+    shed = []
+    for number in range(20):
+        for kind, values in enumerate(({"urgency": 0}, {}, {"is_bulk": True})):
+            shed += queue.add(waiting(100 * kind + number, **values), 20)
+    assert len(queue) == 19
+    kept = [queue.pop() for _ in range(19)]
+    assert sum(found.is_bulk for found in kept) == 3
+    assert sum(found.urgency == 0 for found in kept) == 16
+    assert len({found.flow for found in [*kept, *shed]}) == 60
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["add", "add", "add", "pop", "remove", "expire"]),
+            st.integers(0, 15),
+            st.integers(0, 3),
+            st.booleans(),
+            st.floats(0.0, 2.0),
+        ),
+        max_size=60,
+    )
+)
+def test_every_queued_opening_leaves_exactly_once_in_any_order_of_events(steps):
+    queue = backlog.Backlog()
+    queue.record_duration(0.5)
+    inside, left, removed = set(), [], 0
+    for step, number, urgency, is_bulk, time_s in steps:
+        if step == "add" and flow(number) not in queue:
+            made = waiting(number, urgency, is_bulk, deadline_s=time_s)
+            inside.add(made)
+            out = queue.add(made, 3)
+        elif step == "pop" and queue:
+            out = [queue.pop()]
+        elif step == "expire":
+            out = queue.remove_expired(time_s)
+        else:
+            gone = {found for found in inside if step == "remove" and found.flow == flow(number)}
+            queue.remove(flow(number)) if step == "remove" else None
+            out, removed = list(gone), removed + len(gone)
+        left += out
+        inside -= set(out)
+        assert len(queue) == len(inside)
+        assert all(found.flow in queue for found in inside)
+    rest = queue.clear()
+    assert set(rest) == inside
+    assert len(set(left) | set(rest)) == len(left) + len(rest)
+    assert not queue
--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -361,6 +361,47 @@
     asyncio.run(play())
 
 
+def test_second_upload_is_held_at_its_opening_while_the_link_has_room_for_one(site):
+    """The first sends nothing after its opening, so the second goes on after 0.2 s."""
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        await founded(site)
+        made = route(route_type="upload", target_latency_ms=2095, timeout_ms=8381)
+        assert await site.put(document(made, version=5)) == 200
+        await site.start_entry(link_bytes_per_s=100_000.0)
+        target = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        target.bind(("127.0.0.31", 0))
+        target.setblocking(False)
+        address = f"127.0.0.31:{target.getsockname()[1]}"
+        beat = json.dumps({**BEAT, "address": address}).encode()
+        assert (await site.call(HOSTS[1], "PUT", "/api/instances/i-7f3a91c2", beat))[0] == 200
+        await site.until(lambda: site.entry.is_ready and len(site.entry.view.targets))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
+            for port in (4001, 4002):
+                head = bytearray(34)
+                head[18] = 32
+                head[22:26], head[26:30] = socket.inet_aton("127.0.0.41"), bytes((198, 18, 0, 1))
+                head[30:34] = (443).to_bytes(2, "big") + port.to_bytes(2, "big")
+                caller.sendto(bytes(head), ("127.0.0.21", site.call_port))
+        arrived = []
+        for _ in range(2):
+            data = await asyncio.wait_for(loop.sock_recv(target, 2048), LIMIT_S)
+            arrived.append((int.from_bytes(data[40:42], "big"), lean.now_s()))
+        (first, first_s), (second, second_s) = arrived
+        assert (first, second) == (4001, 4002)
+        assert second_s - first_s > 0.1
+        held = [detail for e, _, detail in site.notes.written if e is events.FLOW_WAITS]
+        assert len(held) == 1
+        assert held[0].startswith("held_for_link")
+        assert b'event="bulk_openings_held"} 1' in site.entry.metrics()
+        assert b"link_held_openings 0" in site.entry.metrics()
+        target.close()
+        await site.stop()
+
+    asyncio.run(play())
+
+
 def test_planned_stops_in_a_zone_take_turns_and_end_in_time(site):
     async def play():
         await founded(site)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -183,6 +183,40 @@
     assert rule.idempotent is is_idempotent
 
 
+def test_urgency_and_times_of_a_route_become_options_where_they_matter():
+    times = {"timeout_ms": 8381, "target_latency_ms": 2095}
+    file = manifest.compile_rules(
+        document(
+            route(route_type="upload", priority=2, **times),
+            route(route_type="unsafe", priority=1, path_prefix="/444/", **times),
+            route(route_type="download", priority=3, path_prefix="/445/", **times),
+            route(route_type="safe", priority=2, path_prefix="/446/", **times),
+        )
+    )
+    upload, unsafe, download, safe = rules.parse(file.number, file.content).rules.values()
+    assert (upload.is_bulk, upload.aim_s, upload.deadline_s) == (True, 2.095, 8.381)
+    assert [rule.urgency for rule in (upload, unsafe, download, safe)] == [2, 1, 3, 2]
+    # Downloads send little through entry VMs, so nothing of theirs is held.
+    assert not download.is_bulk
+    assert download.is_long
+    assert b"urgency" not in file.content.splitlines()[3]
+    assert b"aim_s" not in file.content.splitlines()[1]
+
+
+@pytest.mark.parametrize("value", [..., None, -1, 1.5, 17, "high", True])
+def test_priority_that_is_none_of_the_levels_is_taken_as_not_given(value):
+    file = manifest.compile_rules(document(route(route_type="safe", priority=value)))
+    (rule,) = rules.parse(file.number, file.content).rules.values()
+    assert rule.urgency == rules.DEFAULT_URGENCY
+
+
+@pytest.mark.parametrize("value", [..., None, 0, -5, "soon"])
+def test_upload_without_an_aim_is_served_as_before(value):
+    file = manifest.compile_rules(document(route(route_type="upload", target_latency_ms=value)))
+    (rule,) = rules.parse(file.number, file.content).rules.values()
+    assert not rule.is_bulk
+
+
 def test_weights_that_are_fractions_keep_their_proportion():
     split = [{"service": "ledger", "weight": 0.75}, {"service": "archive", "weight": 0.25}]
     file = manifest.compile_rules(document(route(service=..., weighted_services=split)))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,6 +18,18 @@
     assert found.services() == {"ledger", "names"}
 
 
+def test_urgency_and_times_of_a_rule():
+    lines = (
+        b"10.0.0.1:80 tcp intake class=long urgency=3 aim_s=2.095 deadline_s=8.381 # ana: files\n"
+        b"10.0.0.1:81 tcp intake class=long # ana: no aim\n"
+        b"10.0.0.1:82 tcp shop aim_s=0.6 # ana: short work"
+    )
+    bulk, plain, short = rules.parse(1, lines).rules.values()
+    assert (bulk.urgency, bulk.aim_s, bulk.deadline_s) == (3, 2.095, 8.381)
+    assert (plain.urgency, plain.aim_s, plain.deadline_s) == (rules.DEFAULT_URGENCY, 0, 0)
+    assert [rule.is_bulk for rule in (bulk, plain, short)] == [True, False, False]
+
+
 @pytest.mark.parametrize(
     ("line", "reason"),
     [
@@ -34,6 +46,10 @@
         (b"10.0.0.1:80 tcp ledger idle_s=nan # a", "idle_s"),
         (b"10.0.0.1:80 tcp ledger idle_s=1 idle_s=2 # a", "twice"),
         (b"10.0.0.1:80 tcp ledger class=big # a", "class"),
+        (b"10.0.0.1:80 tcp ledger urgency=10 # a", "urgency"),
+        (b"10.0.0.1:80 tcp ledger urgency=-1 # a", "urgency"),
+        (b"10.0.0.1:80 tcp ledger aim_s=0 # a", "aim_s"),
+        (b"10.0.0.1:80 tcp ledger deadline_s=soon # a", "deadline_s"),
         (b"10.0.0.1:80 tcp ledger # a\xff", "not UTF-8"),
     ],
 )
--- a/zinniaspoke/admission.py
+++ b/zinniaspoke/admission.py
@@ -14,6 +14,8 @@
 LOOK_INTERVAL_S = 0.02
 # Their first windows alone take a link of 2 Mbit/s 16 s; more cannot be in time.
 HELD_LIMIT = 200
+# At most one line a second on a link that bulk waits for.
+SUMMARY_INTERVAL_S = 1.0
 
 # Not final: the opening is held and forwarded later.
 HELD = errors.Nothing(reason="held_for_link")
@@ -29,12 +31,14 @@
         flow: What is known of its flow.
         held_s: When its first copy came.
         until_s: When it has to go on or be refused.
+        is_refusable: Whether no earlier copy can have reached a target.
     """
 
     packet: steering.Packet
     flow: bulk.BulkFlow
     held_s: float
     until_s: float
+    is_refusable: bool
 
 
 class Admission:
@@ -51,6 +55,9 @@
         self._counts = counts
         self._held: dict[bytes, _Held] = {}
         self._looked_s = -1e9
+        # When what the link carried was last told, and the counts at that time.
+        self._told_s = 0.0
+        self._told_bytes = (0, 0)
 
     def __len__(self) -> int:
         return len(self._held)
@@ -78,14 +85,23 @@
         times_s = steering.RETRANSMIT_TIMES_S
         started_s = now_s - times_s[min(packet.retransmit_count, len(times_s) - 1)]
         flow = bulk.BulkFlow(key=packet.flow, rule=rule, started_s=started_s, active_s=now_s)
-        if len(self._held) >= HELD_LIMIT or not self._can_make_deadline(flow, now_s):
+        # Another VM may have forwarded an earlier copy; a refusal has to be true.
+        is_refusable = packet.retransmit_count == 0
+        if is_refusable and (
+            len(self._held) >= HELD_LIMIT or not self._can_make_deadline(flow, now_s)
+        ):
             self._counts.events["bulk_openings_refused"] += 1
             return REFUSED_NO_ROOM
+        if len(self._held) >= HELD_LIMIT:
+            flows.add(packet.flow, rule, started_s, now_s)
+            return None
         if not self._held and self._has_room(flow, now_s):
             flows.add(packet.flow, rule, started_s, now_s)
             return None
         until_s = started_s + steering.CONNECT_TIMEOUT_S - HANDSHAKE_S
-        self._held[packet.flow] = _Held(packet=packet, flow=flow, held_s=now_s, until_s=until_s)
+        self._held[packet.flow] = _Held(
+            packet=packet, flow=flow, held_s=now_s, until_s=until_s, is_refusable=is_refusable
+        )
         self._counts.events["bulk_openings_held"] += 1
         return HELD
 
@@ -131,7 +147,8 @@
             return released, refused
         self._looked_s = now_s
         for key in [key for key, held in self._held.items() if held.until_s <= now_s]:
-            if self._can_make_deadline(self._held[key].flow, now_s):
+            held = self._held[key]
+            if not held.is_refusable or self._can_make_deadline(held.flow, now_s):
                 released.append(self._release(key, now_s))
                 self._counts.events["bulk_openings_released_late"] += 1
             else:
@@ -158,3 +175,26 @@
             flow: The flow's key.
         """
         self._held.pop(flow, None)
+
+    def take_summary(self, now_s: float) -> str | None:
+        """Describes how the link was shared since this was last asked, while bulk waits for it.
+
+        Args:
+            now_s: Current time.
+
+        Returns:
+            Text for the log, or None if there is nothing to tell yet.
+        """
+        elapsed_s = now_s - self._told_s
+        if elapsed_s < SUMMARY_INTERVAL_S or not (self._held or self._pacer.bulk_bytes):
+            return None
+        events = self._counts.events
+        sent = events["link_bytes_bulk"], events["link_bytes_short"]
+        bulk_bytes, short_bytes = (
+            new - old for new, old in zip(sent, self._told_bytes, strict=True)
+        )
+        self._told_s, self._told_bytes = now_s, sent
+        return (
+            f"{bulk_bytes} bytes of bulk and {short_bytes} others sent in {elapsed_s:.1f} s, "
+            f"{self._pacer.bulk_bytes} bytes and {len(self._held)} openings of bulk wait"
+        )
--- a/zinniaspoke/bulk.py
+++ b/zinniaspoke/bulk.py
@@ -16,8 +16,12 @@
 WINDOW_BYTES = 16 * 1270
 # Callers repeat a packet after this; a flow that sent nothing for longer is not waited for.
 REPEAT_S = 0.2
+# Time from the last byte on the link to the answer: some round trips and the target's work.
+ANSWER_S = 0.05
 # A flow of which nothing waits or comes for several round trips has sent all, or is in trouble.
 SILENCE_S = 0.05
+# The longest interval at which callers repeat a packet; a longer pause is not due to losses.
+PAUSE_S = 1.6
 # Twice the longest interval at which callers repeat a packet: the flow has ended unseen.
 IDLE_LIMIT_S = 3.2
 # Far above what a narrow link can have in progress; bounds memory.
@@ -48,8 +52,8 @@
 
     @property
     def aim_at_s(self) -> float:
-        """When it is late."""
-        return self.started_s + self.rule.aim_s
+        """When the link has to have carried it, or it is late."""
+        return self.started_s + self.rule.aim_s - ANSWER_S
 
     @property
     def deadline_at_s(self) -> float:
@@ -168,6 +172,28 @@
         flow = self._flows.get(key)
         return self.add(key, rule, now_s, now_s) if flow is None else flow
 
+    def hear(self, key: bytes, rule: rules.Rule, now_s: float, *, has_payload: bool) -> None:
+        """Notes that a packet of a flow came, after its opening.
+
+        A payload after a pause, or anything after the deadline, shows that its caller has begun
+        another request on the same flow.
+
+        Args:
+            key: The flow's key.
+            rule: Its rule.
+            now_s: Current time.
+            has_payload: Whether the packet carries bytes of the caller.
+        """
+        flow = self.find(key, rule, now_s)
+        is_pause = not flow.waiting_bytes and now_s - flow.active_s > PAUSE_S
+        if has_payload and flow.carried_bytes and is_pause:
+            self.finish(key, is_whole=True)
+            flow = self.add(key, rule, now_s, now_s)
+        elif now_s > flow.deadline_at_s:
+            flow.started_s = now_s
+        flow.active_s = now_s
+        flow.is_heard = True
+
     def get(self, key: bytes) -> BulkFlow | None:
         """Returns a flow if it is known.
 
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -439,6 +439,9 @@
         self._tell_link()
 
     def _tell_link(self) -> None:
+        summary = self._admission and self._admission.take_summary(lean.now_s())
+        if summary:
+            self._output.write(events.LINK_SHARED, "pace", self.config.name, summary)
         drops = sum(self.counters.drops[reason] for reason in pacing.DROP_REASONS)
         if drops > self._link_drops:
             detail = f"{drops - self._link_drops} packets, {self._pacer.queued_bytes} bytes wait"
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -69,10 +69,15 @@
 SET_CHANGED = _define(507, "set_changed", "The set of replicas that agree has changed.")
 FLOW_OPENED = _define(404, "flow_opened", "An opening was sent on, with what decided it.")
 FLOW_DROPPED = _define(405, "flow_dropped", "A packet was dropped, since its target is not known.")
-FLOW_WAITS = _define(406, "flow_waits", "An opening waits until a target has a free place.")
+FLOW_WAITS = _define(
+    406, "flow_waits", "An opening waits for a free place at a target, or for room on the link."
+)
 LINK_OVERLOADED = _define(
     407, "link_overloaded", "Packets were dropped that this VM's link could not carry in time."
 )
+LINK_SHARED = _define(
+    408, "link_shared", "Bulk work waits for this VM's link; what was sent of bulk and of the rest."
+)
 SETTINGS_CHANGED = _define(4, "settings_changed", "The settings file changed and was read again.")
 SETTINGS_REFUSED = _define(6, "settings_refused", "Changed settings cannot be used; the old stay.")
 METRICS_UNSERVED = _define(5, "metrics_unserved", "The metrics address could not be opened.")
--- a/zinniaspoke/pacing.py
+++ b/zinniaspoke/pacing.py
@@ -241,9 +241,9 @@
             Whether it is to be sent now. Otherwise ``take_due`` returns it later, or it is dropped.
         """
         if datagram.is_bulk:
-            flow = self.bulk_flows.find(datagram.flow, datagram.rule, now_s)
-            flow.active_s = now_s
-            flow.is_heard = True
+            self.bulk_flows.hear(
+                datagram.flow, datagram.rule, now_s, has_payload=datagram.sequence is not None
+            )
         if not self.queued_bytes and now_s >= self.next_send_s:
             self._charge(datagram, now_s)
             return True
@@ -300,7 +300,7 @@
         due = []
         while self.queued_bytes and now_s >= self.next_send_s:
             datagram = self._pop_next(now_s)
-            if datagram.has_expired(now_s):
+            if datagram.has_expired(now_s) or self._is_given_up(datagram, now_s):
                 self._counts.drops[EXPIRED] += 1
                 continue
             self._counts.histograms["link_wait"].note(now_s - datagram.first_queued_s)
@@ -308,6 +308,11 @@
             due.append(datagram)
         return due
 
+    def _is_given_up(self, datagram: Datagram, now_s: float) -> bool:
+        """Whether nothing came of a bulk flow since its caller's time ended."""
+        flow = self.bulk_flows.get(datagram.flow) if datagram.is_bulk else None
+        return flow is not None and now_s > flow.deadline_at_s
+
     def _charge(self, datagram: Datagram, now_s: float) -> None:
         size_bytes = datagram.wire_bytes
         self._idle_s = max(self._idle_s, now_s) + size_bytes * self._seconds_per_byte
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -301,7 +301,7 @@
             return REFUSED_NO_TARGET
         load = NO_CAPACITY if queue else self._place(service, now_s, avoid=None)
         if load is NO_CAPACITY:
-            return self._enqueue(packet, service, rule.wait_s, now_s)
+            return self._enqueue(packet, service, rule, now_s)
         if isinstance(load, errors.Nothing):
             return load
         return self._admit(packet, load, now_s)
@@ -344,7 +344,7 @@
     # Queued openings
 
     def _enqueue(
-        self, packet: Packet, service: str, limit_s: float, now_s: float
+        self, packet: Packet, service: str, rule: rules.Rule, now_s: float
     ) -> errors.Nothing:
         """Queues an opening until its deadline, as the targets' own full queues would refuse it."""
         eligible = choosing.eligible(self._ready_by_service[service], now_s)
@@ -353,7 +353,9 @@
             flow=packet.flow,
             opening=packet,
             queued_s=now_s,
-            deadline_s=now_s + min(limit_s, CONNECT_TIMEOUT_S - elapsed_s),
+            deadline_s=now_s + min(rule.wait_s, CONNECT_TIMEOUT_S - elapsed_s),
+            urgency=rule.urgency,
+            is_bulk=rule.is_bulk,
         )
         in_flight_limit = sum(load.in_flight_limit for load in eligible)
         excess = self._backlogs[service].add(queued, in_flight_limit)
