--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -7,6 +7,7 @@
 import socket
 
 from zinniaspoke import (
+    admission,
     coldshares,
     counters,
     errors,
@@ -17,6 +18,7 @@
     pacing,
     ports,
     roster,
+    rules,
     siblings,
     steering,
     subscription,
@@ -36,6 +38,8 @@
 STATES_POLL_S = 0.01
 # Share of the time that a planned stop is given; the rest is for a slow processor.
 STOP_SHARE = 0.8
+# Reasons for which a caller is told that its opening is refused.
+REFUSALS = (*steering.REFUSALS, admission.REFUSED_NO_ROOM)
 
 
 class PacketCodec(abc.ABC):
@@ -145,6 +149,11 @@
             if config.link_bytes_per_s
             else None
         )
+        self._admission = (
+            admission.Admission(pacer=self._pacer, counts=self.steering.counters)
+            if self._pacer is not None
+            else None
+        )
         self._pacer_timer: asyncio.TimerHandle | None = None
         self._hedge_timer: asyncio.TimerHandle | None = None
         # Packets that the pacer had dropped when that was last logged.
@@ -218,11 +227,34 @@
         if isinstance(packet, errors.Nothing):
             self._drop(packet.reason)
             return
+        rule = self._rule_of(packet)
+        if rule is not None and rule.is_bulk and not self._is_admitted(packet, rule, now_s):
+            return
+        self._steer(packet, rule, now_s)
+
+    def _rule_of(self, packet: steering.Packet) -> rules.Rule | None:
+        """Returns the rule of a packet that is paced, if there is one."""
+        if self._pacer is None:
+            return None
+        found = self.steering.rule_of(packet)
+        return None if isinstance(found, errors.Nothing) else found
+
+    def _is_admitted(self, packet: steering.Packet, rule: rules.Rule, now_s: float) -> bool:
+        if packet.kind is not steering.Kind.OPENING:
+            if packet.kind is not steering.Kind.DATA:
+                self._admission.cancel(packet.flow)
+            return True
+        reason = self._admission.consider(packet, rule, now_s)
+        if reason is not None:
+            self._turn_away(packet, reason, now_s)
+        return reason is None
+
+    def _steer(self, packet: steering.Packet, rule: rules.Rule | None, now_s: float) -> None:
         found = self.steering.steer(packet, now_s)
         if isinstance(found, errors.Nothing):
             self._turn_away(packet, found, now_s)
             return
-        self._send_packet(packet, found, now_s)
+        self._send_packet(packet, found, rule, now_s)
         if packet.kind is steering.Kind.OPENING:
             self._tell_opened(packet, "steer")
 
@@ -232,9 +264,15 @@
         self._output.write(events.FLOW_OPENED, step, peer, detail)
 
     def _release(self, now_s: float) -> None:
-        """Sends on openings that waited for a place, and gives up those that wait in vain."""
+        """Sends on openings that waited for room or a place, and gives up those in vain."""
+        if self._admission:
+            admitted, refused = self._admission.take_released(now_s)
+            for packet in admitted:
+                self._steer(packet, self._rule_of(packet), now_s)
+            for packet in refused:
+                self._turn_away(packet, admission.REFUSED_NO_ROOM, now_s)
         for packet, target in self.steering.take_released(now_s):
-            self._send_packet(packet, target, now_s)
+            self._send_packet(packet, target, self._rule_of(packet), now_s)
             self._tell_opened(packet, "release")
         for packet, reason in self.steering.take_rejected():
             self._turn_away(packet, reason, now_s)
@@ -244,19 +282,19 @@
         detail = (
             f"{reason.reason}, rules {self.view.rules.number}, {len(self.view.targets)} targets"
         )
-        if reason is steering.WAITING:
+        if reason is steering.WAITING or reason is admission.HELD:
             self.counters.events[reason.reason] += 1
             self._output.write(events.FLOW_WAITS, "steer", self._codec.describe(data), detail)
             return
         self._drop(reason.reason)
-        if reason in steering.REFUSALS or reason is steering.RESET_UNRESPONSIVE:
+        if reason in REFUSALS or reason is steering.RESET_UNRESPONSIVE:
             host, answer = self._codec.reset(packet)
             endpoint = (host, self.config.packets[1])
             self._submit(
                 pacing.Datagram(data=answer, endpoint=endpoint, flow=packet.flow, is_opening=True),
                 now_s,
             )
-            is_refusal = reason in steering.REFUSALS
+            is_refusal = reason in REFUSALS
             event = events.FLOW_REFUSED if is_refusal else events.FLOW_RESET
             if not is_refusal:
                 detail = f"{detail}, {self.steering.explain(packet.flow)}"
@@ -280,7 +318,7 @@
         now_s = lean.now_s()
         self.view.detect_suspension(now_s)
         for packet, target in self.steering.take_hedges(now_s):
-            self._send_packet(packet, target, now_s)
+            self._send_packet(packet, target, self._rule_of(packet), now_s)
             peer = self._codec.describe(packet.datagram)
             detail = f"also to {target.identity}, {self.steering.explain(packet.flow)}"
             self._output.write(events.FLOW_HEDGED, "hedge", peer, detail)
@@ -289,7 +327,13 @@
 
     # Sending at the link's pace
 
-    def _send_packet(self, packet: steering.Packet, target: roster.Target, now_s: float) -> None:
+    def _send_packet(
+        self,
+        packet: steering.Packet,
+        target: roster.Target,
+        rule: rules.Rule | None,
+        now_s: float,
+    ) -> None:
         if packet.kind is steering.Kind.RESET and self._pacer is not None:
             self._pacer.cancel(packet.flow)
         self._submit(
@@ -300,6 +344,8 @@
                 sequence=packet.sequence if packet.has_payload else None,
                 is_opening=packet.kind is steering.Kind.OPENING,
                 deadline_s=self._deadline_s(packet, target, now_s),
+                rule=rule,
+                ends_flow=packet.kind is steering.Kind.END,
             ),
             now_s,
         )
@@ -339,6 +385,8 @@
         now_s = lean.now_s()
         for datagram in self._pacer.take_due(now_s):
             self._send(datagram)
+        if self._admission:
+            self._release(now_s)
         self._schedule_pacer(now_s)
 
     def metrics(self) -> bytes:
@@ -355,6 +403,8 @@
             gauges["cold_shares"] = self._holder.shares_in_use(lean.now_s())
         if self._pacer is not None:
             gauges["link_queued_bytes"] = self._pacer.queued_bytes
+            gauges["link_queued_bulk_bytes"] = self._pacer.bulk_bytes
+            gauges["link_held_openings"] = len(self._admission)
         return exposition.render(self.counters, gauges)
 
     # Control VMs
@@ -465,6 +515,9 @@
         self._tell_link()
 
     def _tell_link(self) -> None:
+        summary = self._admission and self._admission.take_summary(lean.now_s())
+        if summary:
+            self._output.write(events.LINK_SHARED, "pace", self.config.name, summary)
         drops = sum(self.counters.drops[reason] for reason in pacing.DROP_REASONS)
         if drops > self._link_drops:
             detail = f"{drops - self._link_drops} packets, {self._pacer.queued_bytes} bytes wait"
@@ -481,7 +534,7 @@
         self._enter(siblings.State.LEFT)
         left_s = lean.now_s()
         while (now_s := lean.now_s()) - started_s < most_s:
-            has_waiting = self._pacer or self.steering.queued_count
+            has_waiting = self._pacer or self._admission or self.steering.queued_count
             is_quiet = now_s - self._packet_s > LEAVE_QUIET_S and not has_waiting
             if now_s - left_s >= least_s and is_quiet:
                 break
--- a/zinniaspoke/resets.py
+++ b/zinniaspoke/resets.py
@@ -102,7 +102,12 @@
         else:
             self._busy.append([now_s, now_s])
 
-    def _was_busy(self, time_s: float) -> bool:
+    def was_link_busy(self, time_s: float) -> bool:
+        """Whether packets waited for this VM's link at a time.
+
+        Args:
+            time_s: The time.
+        """
         return any(start_s <= time_s <= end_s for start_s, end_s in self._busy)
 
     @property
@@ -138,7 +143,7 @@
             sent_s: When it was sent.
             now_s: Current time.
         """
-        if self._was_busy(sent_s):
+        if self.was_link_busy(sent_s):
             return
         token = load.target.token
         if len(self._targets) > RECORD_LIMIT:
@@ -176,7 +181,7 @@
         """
         load = flow.load
         if flow.unanswered_sent_s >= self._ended_s.get(load.target.token, math.inf):
-            return "" if self._was_busy(flow.unanswered_sent_s) else TARGET_ENDED
+            return "" if self.was_link_busy(flow.unanswered_sent_s) else TARGET_ENDED
         alive_s = max(load.heard_s, load.answered_s)
         if alive_s > flow.payload_sent_s:
             return ""
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -267,7 +267,7 @@
     ) -> roster.Target | errors.Nothing:
         """Resets a flow whose target must be gone, if its caller may repeat the request."""
         proof = self._judge.find_proof(flow, self._flows.values(), now_s)
-        rule = self._rule_of(packet) if proof else REFUSED_NO_ROUTE
+        rule = self.rule_of(packet) if proof else REFUSED_NO_ROUTE
         if isinstance(rule, errors.Nothing) or not rule.idempotent:
             return flow.target
         if flow.load.record_failure(flow.payload_sent_s, now_s):
@@ -294,7 +294,7 @@
             return DROPPED_NOT_READY
         if not self._view.is_fresh(now_s):
             return DROPPED_NOT_FRESH
-        rule = self._rule_of(packet)
+        rule = self.rule_of(packet)
         if isinstance(rule, errors.Nothing):
             return rule
         service = rule.service_for(hashing.short_hash(packet.flow))
@@ -305,7 +305,7 @@
             return REFUSED_NO_TARGET
         found = NO_CAPACITY if queue else self._place(service, now_s)
         if found is NO_CAPACITY:
-            return self._enqueue(packet, service, rule.wait_s, now_s)
+            return self._enqueue(packet, service, rule, now_s)
         if isinstance(found, errors.Nothing):
             return found
         return self._admit(packet, found, rule, now_s)
@@ -316,7 +316,12 @@
             flow.stage is flowstate.Stage.OPENING and flow.target.zone in self._view.evacuated_zones
         )
 
-    def _rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
+    def rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
+        """Returns the rule in force for a packet's service address.
+
+        Args:
+            packet: A caller's packet.
+        """
         found = self._view.rules.find(packets.TCP, packet.route[:4], packet.route[4:])
         return REFUSED_NO_ROUTE if isinstance(found, errors.Nothing) else found
 
@@ -361,7 +366,7 @@
     # Queued openings
 
     def _enqueue(
-        self, packet: Packet, service: str, limit_s: float, now_s: float
+        self, packet: Packet, service: str, rule: rules.Rule, now_s: float
     ) -> errors.Nothing:
         """Queues an opening until its deadline, as the targets' own full queues would refuse it."""
         usable = self._selector.usable(
@@ -372,7 +377,9 @@
             flow=packet.flow,
             opening=packet,
             queued_s=now_s,
-            deadline_s=now_s + min(limit_s, CONNECT_TIMEOUT_S - elapsed_s),
+            deadline_s=now_s + min(rule.wait_s, CONNECT_TIMEOUT_S - elapsed_s),
+            urgency=rule.urgency,
+            is_bulk=rule.is_bulk,
         )
         in_flight_limit = sum(load.in_flight_limit for load in usable)
         excess = self._backlogs[service].add(queued, in_flight_limit)
@@ -412,7 +419,7 @@
                         self._reject(queue.clear(), found)
                     break
                 entry = queue.pop()
-                rule = self._rule_of(entry.opening)
+                rule = self.rule_of(entry.opening)
                 flow_hash = hashing.short_hash(entry.flow)
                 if isinstance(rule, errors.Nothing) or rule.service_for(flow_hash) != service:
                     # The caller's next retransmission is handled by the new rules.
@@ -567,7 +574,7 @@
 
     def _place_hedge(self, flow: flowstate.Flow, now_s: float) -> choosing.Load | errors.Nothing:
         """Selects the second target of a hedged opening, if the budget and the load allow one."""
-        if self._link_busy_s >= flow.opening_sent_s:
+        if self._judge.was_link_busy(flow.opening_sent_s):
             return hedging.LINK_BUSY
         if self._backlogs[flow.target.service]:
             return NO_CAPACITY
