Share evidence about targets among the entry VMs

Cause: each entry VM finds each dark or slow target by itself, each time at the cost of a caller. Change: entry VMs report failures to two of the control VMs that they follow; these gossip them, merge them by zone and send verdicts as differences; the step 'evidence' excludes at most half of the targets that are left, and two named VMs go on to try each.

--- /dev/null
+++ b/tests/test_evidence.py
@@ -0,0 +1,672 @@
+"""Evidence about targets shared by the fleet: reports, verdicts, and how entry VMs use them."""
+
+import random
+
+import pytest
+import test_steering
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from zinniaspoke import (
+    choosing,
+    coordinator,
+    counters,
+    errors,
+    evidence,
+    exchange,
+    feed,
+    ledger,
+    observer,
+    roster,
+    steering,
+    subscription,
+)
+
+DARK, SLOW = evidence.Kind.DARK, evidence.Kind.SLOW
+ZONES = ("a", "b", "c")
+TICK_S = 0.1
+LINK_S = 0.004
+ROUTE = ("ledger", b"route")
+target = test_steering.target
+
+
+def row(token=7, count=1, failed_s=0.0, answered_s=evidence.NEVER_S, kind=DARK):
+    return evidence.Row(
+        token=token, kind=kind, failure_count=count, failed_s=failed_s, answered_s=answered_s
+    )
+
+
+def make_ledger(zone="a"):
+    return ledger.Ledger(zone_of=lambda token: zone if token < 1000 else None)
+
+
+def report(held, now_s, *rows, reporter="vm-1", zone="a", sequence=1):
+    made = evidence.Report(sequence=sequence, rows=rows)
+    return held.receive_report(reporter, zone, made, now_s)
+
+
+def judge(held, now_s):
+    held.tick(now_s + ledger.VERDICT_INTERVAL_S)
+    return held.verdicts
+
+
+def find(held, now_s, key=(7, DARK)):
+    return judge(held, now_s).get(key)
+
+
+class Fleet:
+    """Entry VMs and control VMs in one process; messages take ``LINK_S``.
+
+    Each entry VM ticks on its own phase. ``is_dark`` tells whether a VM reaches a target.
+    """
+
+    def __init__(self, vm_count=12, target_count=12, seed=1, control_count=4):
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.targets = [target(n, zone=ZONES[n % 3]) for n in range(1, target_count + 1)]
+        self.controls = [self.control(f"c{n}:1") for n in range(control_count)]
+        self.vms = [self.vm(n) for n in range(vm_count)]
+        self.agenda = []
+        self.is_reachable = lambda vm, chosen: True
+        self.is_linked = lambda vm, control: True
+        self.sent_bytes = 0
+        self.opened = 0
+        for vm in self.vms:
+            for control in self.controls:
+                self.feed(control, vm)
+
+    def control(self, name):
+        made = coordinator.Coordinator(
+            name=name,
+            seeds=(name,),
+            targets=roster.Roster(silent_after_s=1e6, retain_s=60.0),
+            announcement_interval_s=1.2,
+            now_s=0.0,
+            counts=counters.Counters(),
+        )
+        for known in self.targets:
+            made.announce(known, self.now_s)
+        made.take_gossip(self.now_s)
+        return made
+
+    def vm(self, number):
+        name, zone = f"vm-{number}", ZONES[number % 3]
+        shared = exchange.Exchange(name=name, zone=zone)
+        rng = random.Random(number)
+        view = subscription.Subscription(
+            seeds=[c.name for c in self.controls],
+            contact_s=4.0,
+            retain_s=60.0,
+            rng=rng,
+            now_s=self.now_s,
+            shared=shared,
+        )
+        core = steering.Steering(view=view, rng=rng, own_zone=zone, shared=shared)
+        rules = test_steering.update(*self.targets, number=1, content=test_steering.RULES)
+        for control in self.controls:
+            view.apply_update(control.name, rules, self.now_s)
+        made = type("EntryVm", (), {})()
+        made.name, made.zone, made.view, made.core, made.shared = name, zone, view, core, shared
+        made.tick_s = self.now_s + self.rng.random() * TICK_S
+        made.subscribers = {
+            c.name: coordinator.Subscriber(name=name, zone=zone, rule_number=1)
+            for c in self.controls
+        }
+        return made
+
+    def later(self, delay_s, call):
+        self.agenda.append((self.now_s + delay_s, len(self.agenda), call))
+
+    def feed(self, control, vm):
+        if not self.is_linked(vm, control):
+            return
+        update = control.update_for(vm.subscribers[control.name], self.now_s)
+        if update is None:
+            return
+        if update.verdicts:
+            self.sent_bytes += len(feed.encode(update, self.now_s))
+        data = feed.encode(update, self.now_s)
+
+        def arrive():
+            decoded = feed.decode(data, control.name, self.now_s)
+            vm.view.apply_update(control.name, decoded, self.now_s)
+
+        self.later(LINK_S, arrive)
+
+    def gossip(self, control):
+        update = control.take_gossip(self.now_s)
+        if update is None:
+            return
+        data = feed.encode(update, self.now_s)
+        for other in self.controls:
+            if other is not control:
+                self.later(
+                    LINK_S,
+                    lambda o=other: o.receive_gossip(
+                        feed.decode(data, "c", self.now_s), self.now_s
+                    ),
+                )
+
+    def tick_vm(self, vm):
+        vm.view.tick(self.now_s)
+        vm.core.tick(self.now_s)
+        made = vm.shared.take_report(self.now_s)
+        linked = [c for c in self.controls if self.is_linked(vm, c)]
+        if made is None:
+            return
+        data = made.encode(self.now_s)
+        for control in linked[: evidence.REPORT_COPY_COUNT]:
+            self.later(LINK_S, lambda c=control: self.take_report(c, vm, data))
+
+    def take_report(self, control, vm, data):
+        decoded = evidence.Report.decode(data, vm.name, self.now_s)
+        control.receive_report(vm.subscribers[control.name], decoded, self.now_s)
+        self.gossip(control)
+
+    def open(self, vm, attempt=0, key=None):
+        """Opens a flow; its caller repeats after 0.2 s, and ends it once answered."""
+        if key is None:
+            self.opened += 1
+            key = test_steering.flow(self.opened)
+        packet = steering.Packet
+        chosen = vm.core.steer(
+            packet(
+                flow=key,
+                route=test_steering.LEDGER,
+                kind=steering.Kind.OPENING,
+                token=0,
+                retransmit_count=attempt,
+            ),
+            self.now_s,
+        )
+        if isinstance(chosen, errors.Nothing):
+            return chosen
+        if not self.is_reachable(vm, chosen):
+            if attempt < 2:
+                self.later(0.2 + 0.2 * attempt, lambda: self.open(vm, attempt + 1, key))
+            return chosen
+        fields = {"flow": key, "route": test_steering.LEDGER, "token": chosen.token}
+        self.later(
+            0.004,
+            lambda: vm.core.steer(
+                packet(kind=steering.Kind.DATA, sequence=1, has_payload=True, **fields), self.now_s
+            ),
+        )
+        self.later(
+            0.03,
+            lambda: vm.core.steer(
+                packet(kind=steering.Kind.END, acknowledged=9, **fields), self.now_s
+            ),
+        )
+        return chosen
+
+    def run(self, seconds, rate_per_s=0, until=lambda: False):
+        """Plays for a time; openings arrive at random VMs at the given rate."""
+        end_s = self.now_s + seconds
+        next_open_s = self.now_s
+        next_control_s = self.now_s
+        while self.now_s < end_s and not until():
+            self.now_s += 0.002
+            due = sorted(item for item in self.agenda if item[0] <= self.now_s)
+            self.agenda = [item for item in self.agenda if item[0] > self.now_s]
+            for _, _, call in due:
+                call()
+            while rate_per_s and next_open_s <= self.now_s:
+                next_open_s += 1 / rate_per_s
+                self.open(self.rng.choice(self.vms))
+            for vm in self.vms:
+                if vm.tick_s <= self.now_s:
+                    vm.tick_s += TICK_S
+                    self.tick_vm(vm)
+            if next_control_s <= self.now_s:
+                next_control_s += 0.04
+                for control in self.controls:
+                    control.tick(self.now_s)
+                    self.gossip(control)
+                    for vm in self.vms:
+                        self.feed(control, vm)
+
+    def avoiding(self, chosen):
+        """Entry VMs that avoid a target because of a verdict."""
+        return [vm for vm in self.vms if vm.shared.verdict_on(chosen.token, self.now_s)]
+
+
+# Fleet
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_dark_target_is_known_to_all_within_a_second_of_its_third_failure(seed):
+    fleet = Fleet(seed=seed)
+    fleet.run(1.0, rate_per_s=150)
+    dark = fleet.targets[4]
+    failed = []
+
+    def is_reachable(vm, chosen):
+        if chosen.token == dark.token:
+            failed.append(fleet.now_s + 0.2)
+        return chosen.token != dark.token
+
+    fleet.is_reachable = is_reachable
+    is_known = lambda: len(fleet.avoiding(dark)) == len(fleet.vms)  # noqa: E731
+    fleet.run(3.0, rate_per_s=150, until=is_known)
+    assert len(fleet.avoiding(dark)) == len(fleet.vms)
+    assert fleet.now_s - failed[2] < 1.0
+
+
+def test_few_openings_are_lost_to_a_target_that_stays_dark_and_it_comes_back():
+    fleet = Fleet()
+    fleet.run(1.0, rate_per_s=150)
+    dark = fleet.targets[4]
+    lost = []
+    fleet.is_reachable = lambda vm, chosen: (
+        chosen.token != dark.token or lost.append(fleet.now_s) or False
+    )
+    fleet.run(10.0, rate_per_s=150)
+    late = [at_s for at_s in lost if at_s > 102.0]
+    # Without sharing, 12 VMs try it about every 4 s each.
+    assert len(late) <= 12
+    assert fleet.avoiding(dark)
+    fleet.is_reachable = lambda vm, chosen: True
+    fleet.run(4.5, rate_per_s=150, until=lambda: not fleet.avoiding(dark))
+    assert not fleet.avoiding(dark)
+
+
+def test_cut_between_zones_leaves_each_target_to_its_own_zone():
+    """All links of zone a to targets of b are cut; the control VMs are reached by all."""
+    fleet = Fleet(vm_count=18)
+    fleet.run(1.0, rate_per_s=200)
+    fleet.is_reachable = lambda vm, chosen: (vm.zone, chosen.zone) != ("a", "b")
+    fleet.run(3.0, rate_per_s=400)
+    for chosen in fleet.targets:
+        assert {vm.zone for vm in fleet.avoiding(chosen)} <= {"a"}
+        assert chosen.zone == "b" or not fleet.avoiding(chosen)
+
+
+def test_entry_vm_that_is_cut_off_from_all_targets_reports_nothing():
+    fleet = Fleet()
+    fleet.run(1.0, rate_per_s=150)
+    lonely = fleet.vms[0]
+    fleet.is_reachable = lambda vm, chosen: vm is not lonely
+    fleet.run(3.0, rate_per_s=400)
+    assert lonely.core.counters.events["evidence_rows_sent"] == 0
+    assert lonely.core.counters.events["evidence_disregarded"] > 0
+
+
+def test_lossy_links_take_few_targets_out_of_use():
+    """2% of openings are lost anywhere: verdicts that come about are soon disproved."""
+    fleet = Fleet(vm_count=24, target_count=24)
+    loss = random.Random(3)
+    fleet.is_reachable = lambda vm, chosen: loss.random() >= 0.02
+    shares = []
+    for _ in range(50):
+        fleet.run(0.2, rate_per_s=200)
+        shares.append(sum(bool(fleet.avoiding(t)) for t in fleet.targets) / len(fleet.targets))
+    assert sum(shares) / len(shares) < 0.05
+
+
+def test_nothing_is_sent_while_all_is_well():
+    fleet = Fleet()
+    fleet.run(3.0, rate_per_s=200)
+    assert fleet.sent_bytes == 0
+    assert not any(vm.core.counters.events["evidence_reports_sent"] for vm in fleet.vms)
+
+
+# Ledger
+
+
+def test_third_failure_reported_by_two_vms_gives_a_verdict_for_all_zones():
+    held = make_ledger()
+    report(held, 10.0, row(count=2, failed_s=9.8))
+    assert find(held, 10.0) is None
+    report(held, 10.2, row(failed_s=10.0), reporter="vm-2")
+    found = find(held, 10.2)
+    assert (found.zones, found.weight, found.failed_s) == ((), 3, 10.0)
+    assert [v.weight for v in held.changes] == [3]
+
+
+def test_reporter_that_lies_alone_ejects_nothing():
+    held = make_ledger()
+    for number in range(40):
+        at_s = 10.0 + number * 0.4
+        rows = [row(token, count=255, failed_s=at_s - 0.2) for token in range(1, 25)]
+        assert report(held, at_s, *rows, sequence=number + 1)
+        assert judge(held, at_s) == {}
+
+
+def test_liar_beside_one_lost_packet_is_disproved_by_answers():
+    held = make_ledger()
+    report(held, 10.0, row(count=200, failed_s=9.9))
+    report(held, 10.0, row(failed_s=9.7), reporter="vm-2")
+    assert find(held, 10.0)
+    report(held, 10.3, row(count=0, answered_s=10.25), reporter="vm-3")
+    assert find(held, 10.3) is None
+
+
+def test_failures_that_lie_far_apart_give_no_verdict():
+    held = make_ledger()
+    for number in range(6):
+        at_s = 10.0 + number * (evidence.WINDOW_S + 0.1)
+        report(held, at_s, row(failed_s=at_s - 0.1), reporter=f"vm-{number}")
+        assert find(held, at_s) is None
+
+
+def test_old_report_is_refused_and_a_verdict_ends_without_new_evidence():
+    held = make_ledger()
+    for number in range(3):
+        report(held, 10.0, row(failed_s=9.9), reporter=f"vm-{number}")
+    assert find(held, 10.0)
+    assert find(held, 9.8 + evidence.HOLD_S)
+    assert find(held, 10.1 + evidence.HOLD_S) is None
+    assert held.samples() == ()
+    for number in range(3):
+        late = row(failed_s=9.9)
+        report(held, 20.0, late, reporter=f"vm-{number}", sequence=2)
+    assert find(held, 20.0) is None
+
+
+def test_evidence_of_one_zone_concerns_that_zone_unless_it_is_the_targets_own():
+    held = make_ledger(zone="b")
+    for number in range(3):
+        report(held, 10.0, row(failed_s=9.9), reporter=f"vm-{number}", zone="a")
+    assert find(held, 10.0).zones == ("a",)
+    report(held, 10.3, row(failed_s=10.1), reporter="vm-9", zone="b")
+    assert find(held, 10.3).zones == ()
+    report(held, 10.6, row(count=0, answered_s=10.5), reporter="vm-8", zone="b")
+    assert find(held, 10.6).zones == ("a",)
+
+
+def test_verdict_is_withdrawn_after_an_answer_and_subscribers_are_told_once():
+    held = make_ledger()
+    for number in range(3):
+        report(held, 10.0, row(failed_s=9.9), reporter=f"vm-{number}")
+    assert find(held, 10.0)
+    changes, revision = held.changed_since(0)
+    assert [v.weight for v in changes] == [3]
+    report(held, 11.0, row(count=0, answered_s=10.9), reporter="vm-1", sequence=2)
+    assert find(held, 11.0) is None
+    changes, revision = held.changed_since(revision)
+    assert [v.weight for v in changes] == [0]
+    assert held.changed_since(revision) == ((), revision)
+
+
+def test_few_reporters_are_named_to_try_the_target():
+    held = make_ledger()
+    for number in range(12):
+        report(held, 10.0, row(failed_s=9.9), reporter=f"vm-{number}")
+    found = find(held, 10.0)
+    assert len(found.probers) == ledger.PROBER_COUNT
+    assert set(found.probers) <= {evidence.prober_id(f"vm-{n}") for n in range(12)}
+
+
+def test_unknown_targets_and_too_many_rows_are_refused():
+    held = make_ledger()
+    report(held, 10.0, row(token=5000, failed_s=9.9))
+    assert held.samples() == ()
+    for number in range(400):
+        rows = [row(token, failed_s=9.9) for token in range(1, 25)]
+        report(held, 10.0, *rows, reporter=f"vm-{number}")
+    assert len(held.samples()) <= ledger.SAMPLE_LIMIT
+    assert all(len(k) <= ledger.REPORTERS_PER_TARGET for k in held._samples.values())
+
+
+def test_reporter_that_floods_is_not_listened_to():
+    held = make_ledger()
+    assert report(held, 10.0, row(failed_s=9.9))
+    assert not report(held, 10.01, row(failed_s=9.9), sequence=2)
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.integers(0, 5),  # reporter
+        st.integers(1, 3),  # target
+        st.sampled_from((DARK, SLOW)),
+        st.integers(0, 4),  # failures
+        st.floats(0.0, 2.0),  # failed before
+        st.none() | st.floats(0.0, 2.0),  # answered before
+    ),
+    max_size=25,
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(EVENTS, st.randoms(use_true_random=False))
+def test_ledgers_agree_whatever_the_order_and_repetition_of_samples(events_, rng):
+    samples = []
+    for number, (reporter, token, kind, count, failed_s, answered_s) in enumerate(events_):
+        at_s = evidence.NEVER_S if answered_s is None else 10.0 - answered_s
+        samples.append(
+            evidence.Sample(
+                reporter=f"vm-{reporter}",
+                zone=ZONES[reporter % 3],
+                sequence=number,
+                row=row(token, count, 10.0 - failed_s if count else evidence.NEVER_S, at_s, kind),
+            )
+        )
+    first, second = make_ledger(), make_ledger()
+    first.receive_gossip(samples, 10.0)
+    shuffled = samples + rng.sample(samples, len(samples) // 2)
+    rng.shuffle(shuffled)
+    second.receive_gossip(shuffled, 10.0)
+    assert judge(first, 10.0) == judge(second, 10.0)
+    for (token, kind), verdict in first.verdicts.items():
+        # A row without any time says nothing and is refused.
+        timed = [s for s in samples if s.row.newest_s > 0.0 and s.row.key == (token, kind)]
+        newest = {s.reporter: s for s in timed}
+        assert len([s for s in newest.values() if s.row.failure_count]) >= 2
+        assert verdict.weight >= ledger.FAILURE_THRESHOLD
+
+
+@settings(max_examples=50, deadline=None)
+@given(EVENTS, st.sets(st.integers(0, 25)))
+def test_lost_reports_leave_no_verdict_for_longer_than_evidence_is_held(events_, lost):
+    held = make_ledger()
+    for number, (reporter, token, kind, count, failed_s, _) in enumerate(events_):
+        if number in lost:
+            continue
+        seen = row(token, count, 10.0 - failed_s, kind=kind)
+        made = evidence.Report(sequence=number, rows=(seen,))
+        held.receive_report(f"vm-{reporter}", "a", made, 10.0 + number)
+        judge(held, 10.0 + number)
+    judge(held, 40.0 + evidence.HOLD_S)
+    assert held.verdicts == {}
+    assert held.samples() == ()
+
+
+# Observer
+
+
+def make_observer():
+    return observer.Observer(counts=counters.Counters())
+
+
+def test_failure_is_reported_once_a_target_was_heard_after_it():
+    seer = make_observer()
+    seer.record_failure(7, 10.0, 10.2)
+    assert seer.take_report((), 10.2) is None
+    seer.record_answer(8, 10.25)
+    sent = seer.take_report((), 10.3)
+    assert [(r.token, r.failure_count, r.failed_s) for r in sent.rows] == [(7, 1, 10.0)]
+    assert seer.take_report((), 11.0) is None
+
+
+def test_failure_is_dropped_if_no_target_is_heard_soon():
+    seer = make_observer()
+    seer.record_failure(7, 10.0, 10.2)
+    assert seer.take_report((), 10.6) is None
+    seer.record_answer(8, 12.0)
+    assert seer.take_report((), 12.1) is None
+
+
+def test_failures_before_an_interruption_prove_nothing():
+    seer = make_observer()
+    seer.record_interruption(10.1)
+    seer.record_failure(7, 10.0, 10.2)
+    seer.record_answer(8, 10.25)
+    assert seer.take_report((), 10.3) is None
+
+
+def test_reports_keep_their_interval_and_their_size():
+    seer = make_observer()
+    for token in range(1, 241):
+        seer.record_failure(token, 10.0, 10.2)
+    seer.record_answer(999, 10.25)
+    now_s, seen = 10.3, set()
+    while (sent := seer.take_report((), now_s)) is not None:
+        assert len(sent.rows) <= evidence.ROWS_PER_REPORT
+        # With two copies: below 9 KB/s a VM, all other control included.
+        assert len(sent.encode(now_s)) * 2 / evidence.REPORT_INTERVAL_S < 5_000
+        seen |= {r.token for r in sent.rows}
+        assert seer.take_report((), now_s + 0.1) is None
+        now_s += evidence.REPORT_INTERVAL_S + 0.001
+    assert seen == set(range(1, 241))
+
+
+def test_answer_that_disproves_a_verdict_is_reported_once():
+    seer = make_observer()
+    verdict = evidence.Verdict(token=7, kind=DARK, failed_s=10.0, weight=3)
+    seer.record_answer(7, 9.0)
+    assert seer.take_report((verdict,), 10.4) is None
+    seer.record_answer(7, 10.5)
+    sent = seer.take_report((verdict,), 10.6)
+    assert [(r.token, r.failure_count) for r in sent.rows] == [(7, 0)]
+    assert seer.take_report((verdict,), 11.1) is None
+
+
+def test_response_is_slow_only_against_its_own_service_and_route():
+    seer = make_observer()
+    heavy = ("ledger", b"heavy")
+    for number in range(40):
+        seer.record_duration(1, ROUTE, 10.0, 10.05)
+        seer.record_duration(2, heavy, 10.0, 10.8 + number * 0.01)
+    seer.record_answer(1, 10.9)
+    assert seer.take_report((), 11.0) is None
+    seer.record_duration(3, ROUTE, 11.0, 11.4)
+    seer.record_answer(1, 11.5)
+    sent = seer.take_report((), 11.5)
+    assert [(r.token, r.kind) for r in sent.rows] == [(3, SLOW)]
+
+
+# Use
+
+
+def make_exchange(*verdicts, name="vm-1", zone="a", heard=("c1:1",)):
+    shared = exchange.Exchange(name=name, zone=zone)
+    shared.refresh(heard, 10.0)
+    shared.apply("c1:1", verdicts, 10.0)
+    return shared
+
+
+def make_loads(count):
+    return [choosing.Load(target=target(n)) for n in range(1, count + 1)]
+
+
+def on(load, kind=DARK, **fields):
+    values = {"failed_s": 9.9, "weight": 3, **fields}
+    return evidence.Verdict(token=load.target.token, kind=kind, **values)
+
+
+def test_target_under_verdict_is_avoided_and_half_of_all_stay_in_use():
+    loads = make_loads(10)
+    shared = make_exchange(on(loads[0]))
+    assert shared.usable(loads, 10.0, may_probe=True) == loads[1:]
+    shared = make_exchange(*(on(load, weight=n + 3) for n, load in enumerate(loads)))
+    left = shared.usable(loads, 10.0, may_probe=True)
+    assert left == loads[:5]
+    assert shared.usable(loads[:1], 10.0, may_probe=True) == loads[:1]
+
+
+def test_dark_targets_are_excluded_before_slow_ones():
+    loads = make_loads(2)
+    shared = make_exchange(on(loads[0], SLOW, weight=200), on(loads[1]))
+    assert shared.usable(loads, 10.0, may_probe=True) == loads[:1]
+
+
+def test_slow_targets_are_used_when_the_others_are_full():
+    loads = make_loads(2)
+    shared = make_exchange(on(loads[0], SLOW))
+    assert shared.usable(loads, 10.0, may_probe=False) == loads[1:]
+    loads[1].in_flight_count = loads[1].in_flight_limit
+    assert shared.usable(loads, 10.0, may_probe=False) == loads
+
+
+def test_own_newer_answer_overrides_a_verdict():
+    loads = make_loads(4)
+    shared = make_exchange(on(loads[0]))
+    shared.observer.record_answer(loads[0].target.token, 10.0)
+    assert shared.usable(loads, 10.0, may_probe=True) == loads
+
+
+def test_named_vm_tries_the_target_once_its_own_suspicion_ends():
+    loads = make_loads(4)
+    loads[0].record_failure(9.9, 10.0)
+    shared = make_exchange(on(loads[0], probers=(evidence.prober_id("vm-1"),)))
+    assert shared.usable(loads, 10.5, may_probe=True) == loads[1:]
+    assert shared.usable(loads, 11.1, may_probe=False) == loads[1:]
+    assert shared.usable(loads, 11.1, may_probe=True) == loads[:1]
+    loads[0].record_placement(11.1)
+    assert shared.usable(loads, 11.2, may_probe=True) == loads[1:]
+
+
+def test_verdict_of_another_zone_is_not_followed():
+    loads = make_loads(4)
+    shared = make_exchange(on(loads[0], zones=("b", "c")))
+    assert shared.usable(loads, 10.0, may_probe=True) == loads
+
+
+def test_verdict_needs_half_of_the_control_vms_that_are_heard():
+    loads = make_loads(4)
+    shared = make_exchange(on(loads[0]), heard=("c1:1", "c2:1", "c3:1"))
+    assert shared.usable(loads, 10.0, may_probe=True) == loads
+    shared.apply("c2:1", [on(loads[0])], 10.0)
+    assert shared.usable(loads, 10.0, may_probe=True) == loads[1:]
+    shared.forget("c1:1")
+    shared.refresh(("c2:1", "c3:1"), 10.0)
+    assert shared.usable(loads, 10.0, may_probe=True) == loads[1:]
+
+
+def test_verdict_expires_at_the_entry_vm_if_no_control_vm_speaks_any_more():
+    loads = make_loads(4)
+    shared = make_exchange(on(loads[0]))
+    assert shared.usable(loads, 10.0 + evidence.HOLD_S, may_probe=True) == loads
+
+
+# Codec
+
+
+def test_report_and_verdicts_round_trip():
+    made = evidence.Report(sequence=3, rows=(row(count=2, failed_s=9.5, answered_s=9.0),))
+    assert evidence.Report.decode(made.encode(10.0), "vm", 10.0) == made
+    sample = evidence.Sample(reporter="vm-1", zone="a", sequence=3, row=made.rows[0])
+    verdicts = (
+        evidence.Verdict(token=7, kind=DARK, zones=("a",), failed_s=9.5, weight=3, probers=(1, 2)),
+        evidence.Verdict(token=8, kind=SLOW),
+    )
+    update = feed.Update(samples=(sample,), verdicts=verdicts)
+    assert feed.decode(feed.encode(update, 10.0), "c", 10.0) == update
+
+
+def test_update_without_evidence_is_as_before():
+    data = feed.encode(feed.Update(), 10.0)
+    assert b"evidence" not in data
+    assert b"verdicts" not in data
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"7",
+        b"[1]",
+        b"[1,[[7]]]",
+        b"[1,[[7,2,1,-1,null]]]",
+        b"[1,[[7,2,1,NaN,null]]]",
+        b"[1,[[7,2,1,7.5,null]]]",
+        b"[1,[[7,9,1,0,null]]]",
+        b"[1,[[7,2,256,0,null]]]",
+        b"[1,[[7,2,Infinity,0,null]]]",
+        b"[1,[" + b",".join([b"[7,2,1,0,null]"] * 25) + b"]]",
+    ],
+)
+def test_malformed_report_is_refused(data):
+    with pytest.raises(errors.DatagramError):
+        evidence.Report.decode(data, "vm", 10.0)
--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -77,6 +77,7 @@
                 may_bootstrap=True,
                 lost_disk_count=1,
                 numbering="highest",
+                shared_evidence=True,
             ),
             output=self.notes,
         )
@@ -231,6 +232,38 @@
     asyncio.run(play())
 
 
+def test_target_that_two_entry_vms_find_dark_is_avoided_by_a_third(site):
+    async def play():
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        path = "/api/instances/i-7f3a91c2"
+        assert (await site.call(HOSTS[0], "PUT", path, BEAT_DATA))[0] == 200
+        entries = []
+        for number in range(21, 24):
+            await site.start_entry(f"127.0.0.{number}", shared_evidence=True)
+            entries.append(site.entry)
+        await site.until(lambda: all(e.is_ready and len(e.view.targets) for e in entries))
+        token = entries[0].view.targets.find("i-7f3a91c2").target.token
+        # Two failures at each; another target is heard.
+        for entry in entries[:2]:
+            now_s = lean.now_s()
+            for _ in range(2):
+                entry._shared.observer.record_failure(token, now_s - 0.1, now_s)
+            entry._shared.observer.record_answer(1, now_s)
+        await site.until(lambda: entries[2]._shared.verdict_on(token, lean.now_s()))
+        assert any(e is events.VERDICT_GIVEN for e, *_ in site.notes.written)
+        assert "targets_under_verdict 1" in entries[2].metrics().decode()
+        assert "targets_under_verdict 1" in site.controls[HOSTS[2]].metrics().decode()
+        entries[2]._shared.observer.record_answer(token, lean.now_s() + 0.1)
+        await site.until(lambda: not any(len(e._shared) for e in entries))
+        assert any(e is events.VERDICT_WITHDRAWN for e, *_ in site.notes.written)
+        for entry in entries:
+            await entry.leave()
+        await site.stop()
+
+    asyncio.run(play())
+
+
 class StallingDisk(storage.DiskStorage):
     """A disk whose writes are not synced until it is released."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -264,6 +264,17 @@
     assert entry.link_bytes_per_s == 250_000
 
 
+@pytest.mark.parametrize(("contracts", "expected"), [(["base"], False), (["base", "health"], True)])
+def test_evidence_is_shared_where_the_contract_on_health_is_in_force(
+    tmp_path, monkeypatch, contracts, expected
+):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**SETTINGS, "contracts": contracts}))
+    monkeypatch.setenv(settings.VARIABLE, str(path))
+    assert settings.load_entry().shared_evidence is expected
+    assert settings.load_control().shared_evidence is expected
+
+
 @pytest.mark.parametrize("missing", ["ip", "bounds", "seed_nodes", "internal_port_range"])
 def test_settings_that_lack_something_are_refused(tmp_path, monkeypatch, missing):
     path = tmp_path / "settings.json"
--- a/zinniaspoke/adapters/links.py
+++ b/zinniaspoke/adapters/links.py
@@ -33,6 +33,7 @@
     REPLY = 6
     UPDATE = 7
     STATE = 8
+    EVIDENCE = 30
 
 
 class Owner(abc.ABC):
--- a/zinniaspoke/coordinator.py
+++ b/zinniaspoke/coordinator.py
@@ -5,7 +5,17 @@
 
 import attrs
 
-from zinniaspoke import control, errors, events, feed, roster, siblings
+from zinniaspoke import (
+    control,
+    counters,
+    errors,
+    events,
+    evidence,
+    feed,
+    ledger,
+    roster,
+    siblings,
+)
 
 # A subscriber counts a control VM as lost after three intervals without an update.
 HEARTBEAT_INTERVAL_S = 0.4
@@ -29,6 +39,7 @@
         state: Rotation state that the entry VM last sent.
         siblings_revision: Revision of the zone's entry VMs that was last sent; 0 before the first.
         controls: Names of control VMs that were last sent.
+        verdict_revision: Revision of the ledger that was last sent.
     """
 
     roster_revision: int = 0
@@ -39,6 +50,7 @@
     state: siblings.State = siblings.State.STARTING
     siblings_revision: int = 0
     controls: tuple[str, ...] = ()
+    verdict_revision: int = 0
 
     @property
     def follows_siblings(self) -> bool:
@@ -58,6 +70,7 @@
         replica: What this VM's replica last published.
         targets: The roster.
         entry_vms: Rotation states of the entry VMs.
+        ledger: What entry VMs report about targets; None where they do not share it.
         notices: Events to log; cleared by whoever logs them.
     """
 
@@ -69,6 +82,7 @@
         targets: roster.Roster,
         announcement_interval_s: float,
         now_s: float,
+        counts: counters.Counters | None = None,
     ) -> None:
         """Starts with an empty roster and without rules.
 
@@ -78,6 +92,7 @@
             targets: The roster.
             announcement_interval_s: Interval at which targets announce themselves.
             now_s: Current time.
+            counts: Where the merging of evidence is counted; None where it is not shared.
         """
         self.name = name
         self.seeds = seeds
@@ -91,6 +106,11 @@
         self._logged_replica_set = ""
         self.entry_vms = siblings.Directory()
         self.notices: list[control.Notice] = []
+        self._zones_by_token: dict[int, str] = {}
+        self._zones_revision = -1
+        self.ledger = (
+            None if counts is None else ledger.Ledger(zone_of=self._zone_of, counts=counts)
+        )
 
     def _note(self, event: events.Event, peer: str, detail: str) -> None:
         self.notices.append(control.Notice(event=event, peer=peer, detail=detail))
@@ -155,14 +175,20 @@
             now_s: Current time.
         """
         is_due = now_s - self._last_gossip_s >= GOSSIP_INTERVAL_S
-        if not self._pending_gossip or not (is_due or self.has_urgent_gossip()):
-            return None
+        samples = () if self.ledger is None else self.ledger.take_gossip()
+        is_roster_due = self._pending_gossip and (is_due or self.has_urgent_gossip())
+        if not is_roster_due:
+            if not samples:
+                return None
+            return feed.Update(samples=samples, is_complete=self.is_complete(now_s))
         entries = [e for i in self._pending_gossip if (e := self.targets.find(i)) is not None]
         self._pending_gossip = set()
         self._last_gossip_s = now_s
         self._last_gossip_revision = self.targets.revision
         return feed.Update(
-            observations=feed.to_observations(entries, now_s), is_complete=self.is_complete(now_s)
+            observations=feed.to_observations(entries, now_s),
+            is_complete=self.is_complete(now_s),
+            samples=samples,
         )
 
     def full_update(self, now_s: float) -> feed.Update:
@@ -174,6 +200,7 @@
         return feed.Update(
             observations=feed.to_observations(self.targets.entries(), now_s),
             is_complete=self.is_complete(now_s),
+            samples=() if self.ledger is None else self.ledger.samples(),
         )
 
     def receive_gossip(self, update: feed.Update, now_s: float) -> None:
@@ -188,6 +215,8 @@
             entry = self.targets.observe(observation.target, now_s - observation.age_s, now_s)
             if entry is not roster.STALE:
                 self._log_change(entry, before, "announced to another control VM")
+        if self.ledger is not None:
+            self.ledger.receive_gossip(update.samples, now_s)
         if update.is_complete:
             self._mark_complete("another control VM has a complete roster")
 
@@ -206,6 +235,47 @@
             self._is_complete = True
             self._note(events.TABLE_COMPLETE, self.name, f"{reason}: {len(self.targets)} targets")
 
+    # Evidence about targets
+
+    def _zone_of(self, token: int) -> str | None:
+        if self._zones_revision != self.targets.revision:
+            self._zones_revision = self.targets.revision
+            self._zones_by_token = {
+                entry.target.token: entry.target.zone for entry in self.targets.entries()
+            }
+        return self._zones_by_token.get(token)
+
+    def receive_report(self, subscriber: Subscriber, report: evidence.Report, now_s: float) -> None:
+        """Takes a subscriber's report about targets.
+
+        Args:
+            subscriber: The entry VM.
+            report: The report.
+            now_s: Current time.
+        """
+        if self.ledger is not None:
+            self.ledger.receive_report(subscriber.name, subscriber.zone, report, now_s)
+
+    def _judge_targets(self, now_s: float) -> None:
+        if self.ledger is None:
+            return
+        self.ledger.tick(now_s)
+        for verdict in self.ledger.changes:
+            kind = verdict.kind.name.lower()
+            if verdict.weight:
+                zones = ", ".join(verdict.zones) or "all zones"
+                detail = f"{kind}, {verdict.weight} failures, for {zones}"
+                self._note(events.VERDICT_GIVEN, self._name_of(verdict.token), detail)
+            else:
+                self._note(events.VERDICT_WITHDRAWN, self._name_of(verdict.token), kind)
+        self.ledger.changes.clear()
+
+    def _name_of(self, token: int) -> str:
+        for entry in self.targets.entries():
+            if entry.target.token == token:
+                return entry.target.identity
+        return f"token {token}"
+
     # Subscribers
 
     def record_subscriber_state(
@@ -242,6 +312,7 @@
             subscriber.roster_revision < self.targets.revision
             or subscriber.rule_number < rules.number
             or has_new_siblings
+            or (self.ledger is not None and subscriber.verdict_revision < self.ledger.revision)
         )
         if not has_changed and now_s - subscriber.sent_s < HEARTBEAT_INTERVAL_S:
             return None
@@ -256,6 +327,11 @@
         if has_new_siblings:
             entry_vms = self.entry_vms.changed_since(subscriber.zone, subscriber.siblings_revision)
             subscriber.siblings_revision = siblings_revision
+        verdicts: tuple[evidence.Verdict, ...] = ()
+        if self.ledger is not None:
+            verdicts, subscriber.verdict_revision = self.ledger.changed_since(
+                subscriber.verdict_revision
+            )
         return feed.Update(
             observations=feed.to_observations(entries, now_s),
             controls=controls if has_new_controls else (),
@@ -264,6 +340,7 @@
             is_current=self.replica.is_current(now_s),
             is_complete=self.is_complete(now_s),
             entry_vms=entry_vms,
+            verdicts=verdicts,
         )
 
     def tick(self, now_s: float) -> None:
@@ -273,6 +350,7 @@
             now_s: Current time.
         """
         self.entry_vms.tick(now_s)
+        self._judge_targets(now_s)
         for entry in self.targets.tick(now_s):
             if entry.target.state is not roster.State.ENDED:
                 silence_s = now_s - entry.heard_s
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -13,6 +13,7 @@
     counters,
     errors,
     events,
+    evidence,
     feed,
     lean_settings,
     log,
@@ -109,6 +110,7 @@
             ),
             announcement_interval_s=config.announcement_interval_s,
             now_s=now_s,
+            counts=self.counters if config.shared_evidence else None,
         )
         self._servers = [
             await links.listen(self, config.host, config.peer_port, lean.now_s),
@@ -147,6 +149,8 @@
             "is_leader": float(replica.role is consensus.Role.LEADER),
             "is_voter": float(replica.is_voter),
         }
+        if self._coordinator.ledger is not None:
+            gauges["targets_under_verdict"] = len(self._coordinator.ledger.verdicts)
         return exposition.render(self.counters, gauges)
 
     @property
@@ -230,6 +234,8 @@
             self._resolve(self._remote.pop(reply.ticket, None), reply)
         elif kind is links.Kind.STATE:
             self._take_state(link, payload, now_s)
+        elif kind is links.Kind.EVIDENCE:
+            self._take_report(link, payload, now_s)
         elif kind is links.Kind.HELLO:
             self._take_hello(link, json.loads(payload))
 
@@ -253,6 +259,18 @@
                 subscriber, siblings.State(int(payload)), now_s
             )
 
+    def _take_report(self, link: links.Link, payload: bytes, now_s: float) -> None:
+        subscriber = self._subscribers.get(link)
+        if subscriber is None:
+            self.counters.events["evidence_reports_refused"] += 1
+            return
+        try:
+            report = evidence.Report.decode(payload, link.peer, now_s)
+        except errors.DatagramError:
+            self.counters.events["evidence_reports_refused"] += 1
+            raise
+        self._coordinator.receive_report(subscriber, report, now_s)
+
     # Calls
 
     def announce(self, target: roster.Target) -> None:
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -10,9 +10,12 @@
     counters,
     errors,
     events,
+    evidence,
+    exchange,
     feed,
     lean_settings,
     location,
+    observer,
     pacing,
     ports,
     roster,
@@ -113,12 +116,18 @@
         self._codec = codec
         self._output = output
         rng = random.Random()
+        self._shared = (
+            exchange.Exchange(name=config.name, zone=config.zone)
+            if config.shared_evidence
+            else None
+        )
         self.view = subscription.Subscription(
             seeds=config.seeds,
             contact_s=config.contact_s,
             retain_s=config.flow_life_s + roster.RETAIN_SLACK_S,
             rng=rng,
             now_s=lean.now_s(),
+            shared=self._shared,
         )
         self.steering = location.create(
             config.flow_location,
@@ -126,6 +135,7 @@
             view=self.view,
             rng=rng,
             own_zone=config.zone,
+            **({} if self._shared is None else {"shared": self._shared}),
         )
         self._pacer = (
             pacing.Pacer(bytes_per_s=config.link_bytes_per_s, counts=self.steering.counters)
@@ -281,6 +291,8 @@
     def _schedule_pacer(self, now_s: float) -> None:
         if self._pacer:
             self.steering.record_link_busy(now_s)
+            if self._shared is not None and self._pacer.delay_s > observer.LINK_DELAY_LIMIT_S:
+                self._shared.observer.record_interruption(now_s)
         if self._pacer and self._pacer_timer is None:
             delay_s = max(0.0, self._pacer.next_send_s - now_s)
             self._pacer_timer = asyncio.get_running_loop().call_later(delay_s, self._send_due)
@@ -302,6 +314,8 @@
         }
         if self._pacer is not None:
             gauges["link_queued_bytes"] = self._pacer.queued_bytes
+        if self._shared is not None:
+            gauges["targets_under_verdict"] = len(self._shared)
         return exposition.render(self.counters, gauges)
 
     # Control VMs
@@ -377,8 +391,19 @@
             self._release(now_s)
             self._schedule_pacer(now_s)
             self._follow()
+            self._report(now_s)
             self._tell()
 
+    def _report(self, now_s: float) -> None:
+        """Sends what this VM has seen of targets to some of the control VMs that it follows."""
+        if self._shared is None:
+            return
+        open_links = [d.link for d in self._diallers.values() if d.link.is_open]
+        report = self._shared.take_report(now_s) if open_links else None
+        if report is not None:
+            for link in open_links[: evidence.REPORT_COPY_COUNT]:
+                link.send(links.Kind.EVIDENCE, report.encode(now_s))
+
     def _tell(self) -> None:
         for event, peer, detail in self.view.pending_events:
             self._output.write(event, "follow", peer, detail)
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -44,6 +44,12 @@
     209, "zone_suspected", "No target of an availability zone answers; it gets no new flows."
 )
 ZONE_ANSWERS = _define(210, "zone_answers", "A target of a suspected availability zone answers.")
+VERDICT_GIVEN = _define(
+    220, "verdict_given", "Several entry VMs report failures of a target; all are told."
+)
+VERDICT_WITHDRAWN = _define(
+    221, "verdict_withdrawn", "A target answers again, or nothing more is reported of it."
+)
 RULES_IN_FORCE = _define(301, "rules_in_force", "A rule file is in force on this VM.")
 RULES_REFUSED = _define(302, "rules_refused", "A rule file that arrived was not taken.")
 RULES_UNREACHABLE = _define(303, "rules_unreachable", "No control replica answered a poll.")
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from zinniaspoke import errors, roster, siblings
+from zinniaspoke import errors, evidence, roster, siblings
 
 # The fastest level; it compresses rule files to about a sixth.
 COMPRESSION_LEVEL = 1
@@ -41,6 +41,8 @@
         is_current: Whether the sender leads with a majority or has recently heard from a leader.
         is_complete: Whether the sender's roster is complete.
         entry_vms: Entry VMs of the receiver's zone whose state has changed; None for none.
+        samples: To a control VM: what entry VMs reported to the sender about targets.
+        verdicts: To an entry VM: verdicts on targets that have changed.
     """
 
     observations: tuple[Observation, ...] = ()
@@ -50,6 +52,8 @@
     is_current: bool = False
     is_complete: bool = False
     entry_vms: tuple[siblings.Sibling, ...] | None = None
+    samples: tuple[evidence.Sample, ...] = ()
+    verdicts: tuple[evidence.Verdict, ...] = ()
 
 
 def to_observation(entry: roster.Entry, now_s: float) -> Observation:
@@ -147,6 +151,13 @@
         body["entry_vms"] = [
             [s.name, int(s.state), round(max(0.0, now_s - s.since_s), 3)] for s in update.entry_vms
         ]
+    if update.samples:
+        body["evidence"] = [
+            [s.reporter, s.zone, s.sequence, *evidence.encode_row(s.row, now_s)]
+            for s in update.samples
+        ]
+    if update.verdicts:
+        body["verdicts"] = [evidence.encode_verdict(v, now_s) for v in update.verdicts]
     if update.content is not None:
         body["content"] = _compress_rules(update.content)
     return json.dumps(body, separators=(",", ":")).encode()
@@ -174,12 +185,24 @@
             is_current=bool(body["is_current"]),
             is_complete=bool(body["is_complete"]),
             entry_vms=_decode_siblings(body.get("entry_vms"), now_s),
+            samples=tuple(_decode_sample(row, now_s) for row in body.get("evidence", ())),
+            verdicts=tuple(evidence.decode_verdict(row, now_s) for row in body.get("verdicts", ())),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
         reason = f"{type(error).__name__}: {error}"
         raise errors.DatagramError(step="decode update", peer=peer, reason=reason) from error
 
 
+def _decode_sample(row: list, now_s: float) -> evidence.Sample:
+    reporter, zone, sequence, *body = row
+    return evidence.Sample(
+        reporter=str(reporter),
+        zone=str(zone),
+        sequence=int(sequence),
+        row=evidence.decode_row(body, now_s),
+    )
+
+
 def _decode_siblings(rows: list | None, now_s: float) -> tuple[siblings.Sibling, ...] | None:
     if rows is None:
         return None
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -20,6 +20,7 @@
         contact_s: After a fault, time within which all reachable VMs are connected again.
         stop_limit_s: A planned stop has to end by then.
         metrics: Where counters are served, or None.
+        shared_evidence: Whether entry VMs report bad targets to each other through control VMs.
     """
 
     name: str
@@ -32,6 +33,7 @@
     contact_s: float
     stop_limit_s: float
     metrics: tuple[str, int] | None = None
+    shared_evidence: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Checks what no later step would notice."""
--- a/zinniaspoke/pacing.py
+++ b/zinniaspoke/pacing.py
@@ -140,6 +140,11 @@
         """When the link can carry another datagram."""
         return self._idle_s - BURST_S
 
+    @property
+    def delay_s(self) -> float:
+        """How long the link takes for what is queued."""
+        return self.queued_bytes * self._seconds_per_byte
+
     def submit(self, datagram: Datagram, now_s: float) -> bool:
         """Takes a datagram.
 
--- a/zinniaspoke/selection.py
+++ b/zinniaspoke/selection.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from zinniaspoke import choosing, errors
+from zinniaspoke import choosing, errors, exchange
 
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
 REFUSED_EVACUATED = errors.Nothing(reason="refused_evacuated")
@@ -35,10 +35,12 @@
     Attributes:
         service: The service that its rule names.
         now_s: Current time.
+        may_probe: Whether it may be used to try a target that is avoided otherwise.
     """
 
     service: str
     now_s: float
+    may_probe: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -49,11 +51,13 @@
         view: Rules and targets that this VM knows.
         rng: Seeded random source.
         own_zone: This VM's availability zone; empty if not known.
+        shared: Evidence about targets shared with other entry VMs, if it is.
     """
 
     view: View
     rng: random.Random
     own_zone: str = ""
+    shared: exchange.Exchange | None = None
 
 
 Loads = Sequence[choosing.Load]
@@ -125,6 +129,19 @@
     return exclude
 
 
+@register("evidence", order=40, reason=REFUSED_NO_TARGET)
+def _make_evidence(context: Context) -> Filter | None:
+    """Excludes a part of the targets that several entry VMs have found dark or slow."""
+    shared = context.shared
+    if shared is None:
+        return None
+
+    def exclude(loads: Loads, query: Query) -> Loads:
+        return shared.usable(loads, query.now_s, may_probe=query.may_probe)
+
+    return exclude
+
+
 @register("capacity", order=50, reason=NO_CAPACITY)
 def _make_capacity(_context: Context) -> Filter:
     """Excludes targets at their in-flight limit."""
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -16,6 +16,7 @@
     choosing,
     counters,
     errors,
+    exchange,
     flowstate,
     hashing,
     packets,
@@ -120,6 +121,7 @@
         rng: random.Random,
         policy: str = choosing.DEFAULT_POLICY,
         own_zone: str = "",
+        shared: exchange.Exchange | None = None,
     ) -> None:
         """Starts without flows.
 
@@ -128,12 +130,15 @@
             rng: Seeded random source.
             policy: Name of the placement policy.
             own_zone: This VM's availability zone.
+            shared: Evidence about targets shared with other entry VMs, if it is.
         """
         self._view = view
         self._selector = selection.Selector(
-            context=selection.Context(view=view, rng=rng, own_zone=own_zone), policy=policy
+            context=selection.Context(view=view, rng=rng, own_zone=own_zone, shared=shared),
+            policy=policy,
         )
-        self.counters = counters.Counters()
+        self._observer = None if shared is None else shared.observer
+        self.counters = counters.Counters() if shared is None else shared.counters
         self.newly_suspected: list[roster.Target] = []
         self._flows: dict[bytes, flowstate.Flow] = {}
         self._loads: dict[int, choosing.Load] = {}
@@ -284,12 +289,17 @@
         return not isinstance(rule, errors.Nothing) and rule.idempotent
 
     def _reset(self, flow: flowstate.Flow, now_s: float) -> errors.Nothing:
-        if flow.load.record_failure(flow.payload_sent_s, now_s):
-            self.newly_suspected.append(flow.target)
+        self._record_failure(flow, flow.payload_sent_s, now_s)
         flow.stage = flowstate.Stage.CLOSED
         flow.uncount_as_load()
         return RESET_UNRESPONSIVE
 
+    def _record_failure(self, flow: flowstate.Flow, sent_s: float, now_s: float) -> None:
+        if self._observer is not None:
+            self._observer.record_failure(flow.target.token, sent_s, now_s)
+        if flow.load.record_failure(sent_s, now_s):
+            self.newly_suspected.append(flow.target)
+
     # Openings
 
     def _steer_opening(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
@@ -310,7 +320,8 @@
             return WAITING
         if service not in self._ready_by_service:
             return REFUSED_NO_TARGET
-        found = NO_CAPACITY if queue else self._place(service, now_s, avoid=None)
+        may_probe = not packet.retransmit_count
+        found = NO_CAPACITY if queue else self._place(service, now_s, may_probe=may_probe)
         if found is NO_CAPACITY:
             return self._enqueue(packet, service, rule.wait_s, now_s)
         if isinstance(found, errors.Nothing):
@@ -337,10 +348,16 @@
         return load.target
 
     def _place(
-        self, service: str, now_s: float, avoid: choosing.Load | None
+        self,
+        service: str,
+        now_s: float,
+        *,
+        avoid: choosing.Load | None = None,
+        may_probe: bool = False,
     ) -> selection.Selected | errors.Nothing:
         loads = [load for load in self._ready_by_service.get(service, ()) if load is not avoid]
-        found = self._selector.select(loads, selection.Query(service=service, now_s=now_s))
+        query = selection.Query(service=service, now_s=now_s, may_probe=may_probe)
+        found = self._selector.select(loads, query)
         if not isinstance(found, errors.Nothing):
             found.load.record_placement(now_s)
         return found
@@ -393,7 +410,7 @@
             if queue and service not in self._ready_by_service:
                 self._reject(queue.clear(), REFUSED_NO_TARGET)
             while queue:
-                found = self._place(service, now_s, avoid=None)
+                found = self._place(service, now_s)
                 if isinstance(found, errors.Nothing):
                     if found in REFUSALS:
                         self._reject(queue.clear(), found)
@@ -424,8 +441,8 @@
             return flow.target
         # A target that answered another opening meanwhile is reachable; this opening was lost.
         is_unresponsive = flow.load.answered_s < flow.opening_sent_s
-        if is_unresponsive and flow.load.record_failure(flow.opening_sent_s, now_s):
-            self.newly_suspected.append(flow.target)
+        if is_unresponsive:
+            self._record_failure(flow, flow.opening_sent_s, now_s)
         flow.opening_sent_s = now_s
         self._sent_openings.append((now_s, flow))
         flow.count_as_load()
@@ -449,6 +466,8 @@
         if packet.has_payload:
             flow.record_payload(packet.sequence, has_response=True)
         answered.record_answer(now_s)
+        if self._observer is not None:
+            self._observer.record_answer(answered.target.token, now_s)
         self.counters.histograms["handshake"].note(now_s - flow.opening_sent_s)
         self.counters.events["flows_opened"] += 1
 
@@ -461,12 +480,22 @@
         flow.acknowledged = packet.acknowledged
         if has_response:
             flow.load.record_bytes(flow.last_packet_s)
+            if self._observer is not None:
+                self._observe_response(flow, packet)
         if packet.has_payload:
             flow.record_payload(packet.sequence, has_response)
             flow.count_as_load()
         elif has_response:
             self._finish_request(flow)
 
+    def _observe_response(self, flow: flowstate.Flow, packet: Packet) -> None:
+        now_s = flow.last_packet_s
+        self._observer.record_answer(flow.target.token, now_s)
+        if flow.is_counted and not packet.has_payload:
+            route = (flow.target.service, packet.route)
+            started_s = flow.counted_since_s
+            self._observer.record_duration(flow.target.token, route, started_s, now_s)
+
     def _finish_request(self, flow: flowstate.Flow) -> None:
         if flow.is_counted:
             duration_s = flow.last_packet_s - flow.counted_since_s
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from zinniaspoke import events, feed, roster, rulebook, siblings
+from zinniaspoke import events, exchange, feed, roster, rulebook, siblings
 
 # An entry VM subscribes to several control VMs at once, since one may be stale without knowing it.
 SUBSCRIPTION_COUNT = 4
@@ -68,6 +68,7 @@
         retain_s: float,
         rng: random.Random,
         now_s: float,
+        shared: exchange.Exchange | None = None,
     ) -> None:
         """Starts without rules and targets.
 
@@ -77,8 +78,10 @@
             retain_s: Ended targets are kept for this long, for their open flows.
             rng: Seeded random source.
             now_s: Current time.
+            shared: Evidence about targets shared with other entry VMs, if it is.
         """
         self._rng = rng
+        self._shared = shared
         self._contact_s = contact_s
         self.rules = rulebook.RuleBook()
         self.evacuated_zones: frozenset[str] = frozenset()
@@ -149,6 +152,8 @@
         Args:
             name: The control VM.
         """
+        if self._shared is not None:
+            self._shared.forget(name)
         if len(self._feeds) > 1:
             self._feeds.pop(name, None)
         elif name in self._feeds:
@@ -183,6 +188,9 @@
         if update.entry_vms is not None:
             state.entry_vms = state.entry_vms or {}
             state.entry_vms.update((sibling.name, sibling) for sibling in update.entry_vms)
+        if self._shared is not None and update.verdicts:
+            self._refresh_verdicts(now_s)
+            self._shared.apply(name, update.verdicts, now_s)
         if update.is_complete and not self._has_target_table:
             self._has_target_table = True
             detail = f"{len(self.targets)} targets"
@@ -210,6 +218,11 @@
         live = [f for f in self._feeds.values() if now_s - f.last_update_s <= FEED_TIMEOUT_S]
         return live or list(self._feeds.values())
 
+    def _refresh_verdicts(self, now_s: float) -> None:
+        if self._shared is not None:
+            heard = [n for n, f in self._feeds.items() if now_s - f.last_update_s <= FEED_TIMEOUT_S]
+            self._shared.refresh(heard, now_s)
+
     def _find_silent_targets(self, now_s: float) -> frozenset[str]:
         """Returns the targets whose announcements no reachable control VM receives any more."""
         live = self._live_feeds(now_s)
@@ -297,6 +310,8 @@
         """
         if now_s - self._last_tick_s > SUSPENSION_THRESHOLD_S:
             self._resumed_s = now_s
+            if self._shared is not None:
+                self._shared.observer.record_interruption(now_s)
         self._last_tick_s = now_s
 
     def tick(self, now_s: float) -> None:
@@ -306,6 +321,7 @@
             now_s: Current time.
         """
         self.detect_suspension(now_s)
+        self._refresh_verdicts(now_s)
         silent = self._find_silent_targets(now_s)
         if silent != self._silent_targets:
             for identity in silent - self._silent_targets:
