Bound the bytes of verdicts, and measure them

Cause: verdicts could change for 64 targets every 0.1 s. Change: 12 at a time, at most every 0.3 s; reports hold 12 rows. benchmarks.evidence_bytes: a report 41 to 349 B, an update with verdicts 146 to 663 B; an entry VM sends 1,994 B/s of reports and gets 8,840 B/s of verdicts at most.

--- a/zinniaspoke/evidence.py
+++ b/zinniaspoke/evidence.py
@@ -14,7 +14,7 @@
 
 # While something is notable, an entry VM reports this often at most.
 REPORT_INTERVAL_S = 0.35
-ROWS_PER_REPORT = 24
+ROWS_PER_REPORT = 12
 # Control VMs to which each report is sent, in case that one has just failed.
 REPORT_COPY_COUNT = 2
 # Failures within this time add up to a verdict.
--- a/zinniaspoke/ledger.py
+++ b/zinniaspoke/ledger.py
@@ -6,8 +6,10 @@
 
 from zinniaspoke import counters, evidence, hashing
 
-# Verdicts are computed this often at most, so that many failures make one message.
-VERDICT_INTERVAL_S = 0.1
+# While verdicts change, they are computed this often and so many changed at a time at most: four
+# control VMs then send an entry VM less than 9 KB/s (benchmarks/evidence_bytes.py).
+VERDICT_INTERVAL_S = 0.3
+CHANGES_PER_INTERVAL = 12
 # Failures within ``evidence.WINDOW_S`` that give a verdict, and entry VMs that have to report them.
 FAILURE_THRESHOLD = 3
 REPORTER_THRESHOLD = 2
@@ -18,6 +20,7 @@
 # Bounds of memory and of messages.
 REPORTERS_PER_TARGET = 16
 SAMPLE_LIMIT = 4096
+# For a subscriber that has just connected.
 VERDICTS_PER_UPDATE = 64
 # A reporter that sends more often is not listened to.
 REPORT_MIN_INTERVAL_S = evidence.REPORT_INTERVAL_S / 2
@@ -57,7 +60,8 @@
         self._samples: dict[evidence.Key, dict[str, evidence.Sample]] = {}
         self._sample_count = 0
         self._issued: dict[evidence.Key, _Issued] = {}
-        self._dirty: set[evidence.Key] = set()
+        # Keys whose samples have changed, in that order.
+        self._dirty: dict[evidence.Key, None] = {}
         self._gossip: dict[tuple[evidence.Key, str], evidence.Sample] = {}
         self._reported_s: dict[str, float] = {}
         self._judged_s = evidence.NEVER_S
@@ -124,7 +128,7 @@
         else:
             self._sample_count += 1
         self._samples.setdefault(row.key, known)[sample.reporter] = sample
-        self._dirty.add(row.key)
+        self._dirty[row.key] = None
         return True
 
     def take_gossip(self) -> tuple[evidence.Sample, ...]:
@@ -146,10 +150,13 @@
         """
         if now_s - self._judged_s < VERDICT_INTERVAL_S:
             return
-        self._judged_s = now_s
         self._expire(now_s)
-        dirty, self._dirty = self._dirty, set()
-        for key in sorted(dirty):
+        limit = self.revision + CHANGES_PER_INTERVAL
+        for key in list(self._dirty):
+            if self.revision >= limit:
+                break
+            self._judged_s = now_s
+            del self._dirty[key]
             self._issue(key, self._judge(key, now_s), now_s)
 
     def _expire(self, now_s: float) -> None:
@@ -158,7 +165,7 @@
                 if now_s - sample.row.newest_s > evidence.HOLD_S:
                     del known[reporter]
                     self._sample_count -= 1
-                    self._dirty.add(key)
+                    self._dirty[key] = None
             if not known:
                 del self._samples[key]
         for key, issued in list(self._issued.items()):
