--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -174,7 +174,9 @@
         vm.view.tick(self.now_s)
         vm.core.tick(self.now_s)
         made = vm.shared.take_report(self.now_s)
+        # Each VM follows the control VMs in an order of its own.
         linked = [c for c in self.controls if self.is_linked(vm, c)]
+        random.Random(vm.name).shuffle(linked)
         if made is None:
             return
         data = made.encode(self.now_s)
@@ -384,6 +386,7 @@
     for number in range(3):
         late = row(failed_s=9.9)
         report(held, 20.0, late, reporter=f"vm-{number}", sequence=2)
+    assert held.samples() == ()
     assert find(held, 20.0) is None
 
 
@@ -572,6 +575,14 @@
     assert [(r.token, r.kind) for r in sent.rows] == [(3, SLOW)]
 
 
+def test_answered_opening_is_observed():
+    fleet = Fleet(vm_count=1)
+    vm = fleet.vms[0]
+    chosen = fleet.open(vm)
+    fleet.run(0.02)
+    assert vm.shared.observer.answered_s((chosen.token, DARK)) > 100.0 - 0.03
+
+
 # Use
 
 
@@ -598,6 +609,7 @@
     shared = make_exchange(*(on(load, weight=n + 3) for n, load in enumerate(loads)))
     left = shared.usable(loads, 10.0, may_probe=True)
     assert left == loads[:5]
+    assert shared.ejected_share == 0.5
     assert shared.usable(loads[:1], 10.0, may_probe=True) == loads[:1]
 
 
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -316,6 +316,7 @@
             gauges["link_queued_bytes"] = self._pacer.queued_bytes
         if self._shared is not None:
             gauges["targets_under_verdict"] = len(self._shared)
+            gauges["ejected_share"] = self._shared.ejected_share
         return exposition.render(self.counters, gauges)
 
     # Control VMs
--- a/zinniaspoke/exchange.py
+++ b/zinniaspoke/exchange.py
@@ -16,6 +16,7 @@
     Attributes:
         observer: What this VM sees.
         counters: Counts of this process.
+        ejected_share: Share of the targets that the last selection excluded.
     """
 
     def __init__(self, *, name: str, zone: str) -> None:
@@ -33,6 +34,7 @@
         self._given: dict[str, dict[evidence.Key, evidence.Verdict]] = {}
         self._heard: tuple[str, ...] = ()
         self._in_force: dict[int, evidence.Verdict] = {}
+        self.ejected_share = 0.0
 
     def __len__(self) -> int:
         return len(self._in_force)
@@ -117,6 +119,7 @@
             now_s: Current time.
             may_probe: Whether the opening may be used to try a target under verdict.
         """
+        self.ejected_share = 0.0
         if not self._in_force:
             return loads
         suspects = []
@@ -140,6 +143,7 @@
                 loads, [found for found in suspects if found[0].kind is evidence.Kind.DARK]
             )
         if len(left) < len(loads):
+            self.ejected_share = 1 - len(left) / len(loads)
             self.counters.events["evidence_exclusions"] += 1
         return left
 
