--- a/zinniaspoke/observer.py
+++ b/zinniaspoke/observer.py
@@ -19,6 +19,8 @@
 # What is usual is known after this many responses; each moves the estimate of the median by a step.
 USUAL_SAMPLE_COUNT = 20
 USUAL_STEP = 1.05
+# Services and routes for which it is kept; beyond, all are learnt anew.
+USUAL_LIMIT = 1024
 
 
 @attrs.define(kw_only=True, slots=True)
@@ -144,6 +146,8 @@
         duration_s = now_s - started_s
         usual = self._usual.get(route)
         if usual is None:
+            if len(self._usual) >= USUAL_LIMIT:
+                self._usual.clear()
             usual = self._usual[route] = _Usual(median_s=duration_s)
         if usual.is_slow(duration_s):
             self._fail((token, evidence.Kind.SLOW), now_s, now_s)
