Merge evidence about targets shared by the fleet

Cause: each entry VM found each dark, slow or grey target by itself, at the cost of its own callers. Change: merges reports of entry VMs, the ledger of control VMs and the evidence step. All parts of an entry VM now count in one object that the program passes in.

--- a/tests/test_cold_return.py
+++ b/tests/test_cold_return.py
@@ -23,7 +23,9 @@
         self.holder = coldshares.Holder(
             view=self.view, incarnation=seed, announcement_interval_s=INTERVAL_S
         )
-        self.core = steering.Steering(view=self.view, rng=rng, holder=self.holder)
+        self.core = steering.Steering(
+            view=self.view, rng=rng, holder=self.holder, counts=self.holder.counters
+        )
         self.apply_update(*targets, number=1, content=COLD_RULES)
         self.known = targets
 
--- a/zinniaspoke/adapters/links.py
+++ b/zinniaspoke/adapters/links.py
@@ -35,6 +35,7 @@
     STATE = 8
     SHARE_REQUEST = 20
     SHARE_GRANT = 21
+    EVIDENCE = 30
 
 
 class Owner(abc.ABC):
--- a/zinniaspoke/coldshares.py
+++ b/zinniaspoke/coldshares.py
@@ -107,16 +107,24 @@
         counters: Counts of this process.
     """
 
-    def __init__(self, *, view: View, incarnation: int, announcement_interval_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        view: View,
+        incarnation: int,
+        announcement_interval_s: float,
+        counts: counters.Counters | None = None,
+    ) -> None:
         """Starts without shares.
 
         Args:
             view: Rules and targets that this VM knows.
             incarnation: Number of this process, 32 bits; another one after a restart.
             announcement_interval_s: How often targets announce themselves.
+            counts: Counters of this process; None for fresh ones.
         """
         self.distrust_s = DISTRUST_INTERVALS * announcement_interval_s + DISTRUST_SLACK_S
-        self.counters = counters.Counters()
+        self.counters = counters.Counters() if counts is None else counts
         self._view = view
         self._incarnation = incarnation
         self._leases: dict[int, _Lease] = {}
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -13,6 +13,7 @@
     errors,
     evacuations,
     events,
+    evidence,
     feed,
     lean_settings,
     log,
@@ -93,6 +94,7 @@
             ),
             announcement_interval_s=config.announcement_interval_s,
             now_s=now_s,
+            counts=self.counters if config.shared_evidence else None,
         )
         self._granter = coldshares.Granter(
             targets=self._coordinator.targets,
@@ -138,6 +140,8 @@
             "places_revision": replica.places_revision,
             "evacuated_zones": len(replica.evacuated),
         }
+        if self._coordinator.ledger is not None:
+            gauges["targets_under_verdict"] = len(self._coordinator.ledger.verdicts)
         return exposition.render(self.counters, gauges)
 
     @property
@@ -221,6 +225,8 @@
             self._take_state(link, payload, now_s)
         elif kind is links.Kind.SHARE_REQUEST:
             self._take_share_request(link, payload, now_s)
+        elif kind is links.Kind.EVIDENCE:
+            self._take_report(link, payload, now_s)
         elif kind is links.Kind.HELLO:
             self._take_hello(link, json.loads(payload))
 
@@ -272,6 +278,18 @@
             self.counters.events["share_grants"] += 1
             link.send(links.Kind.SHARE_GRANT, grant)
 
+    def _take_report(self, link: links.Link, payload: bytes, now_s: float) -> None:
+        subscriber = self._subscribers.get(link)
+        if subscriber is None:
+            self.counters.events["evidence_reports_refused"] += 1
+            return
+        try:
+            report = evidence.Report.decode(payload, link.peer, now_s)
+        except errors.DatagramError:
+            self.counters.events["evidence_reports_refused"] += 1
+            raise
+        self._coordinator.receive_report(subscriber, report, now_s)
+
     # Calls
 
     def announce(self, target: roster.Target) -> None:
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from zinniaspoke import errors, roster, siblings
+from zinniaspoke import errors, evidence, roster, siblings
 
 # The fastest level; it compresses rule files to about a sixth.
 COMPRESSION_LEVEL = 1
@@ -46,6 +46,8 @@
         evacuated_zones: The evacuated zones; None if the receiver holds this revision.
         returned_zones: Zones whose evacuation ended lately, with the seconds since; sent with
             ``evacuated_zones``.
+        samples: To a control VM: what entry VMs reported to the sender about targets.
+        verdicts: To an entry VM: verdicts on targets that have changed.
     """
 
     observations: tuple[Observation, ...] = ()
@@ -58,6 +60,8 @@
     places_revision: int = 0
     evacuated_zones: tuple[str, ...] | None = None
     returned_zones: tuple[tuple[str, float], ...] = ()
+    samples: tuple[evidence.Sample, ...] = ()
+    verdicts: tuple[evidence.Verdict, ...] = ()
 
 
 def to_observation(entry: roster.Entry, now_s: float) -> Observation:
@@ -162,6 +166,13 @@
         body["evacuated_zones"] = update.evacuated_zones
         if update.returned_zones:
             body["returned_zones"] = update.returned_zones
+    if update.samples:
+        body["evidence"] = [
+            [s.reporter, s.zone, s.sequence, *evidence.encode_row(s.row, now_s)]
+            for s in update.samples
+        ]
+    if update.verdicts:
+        body["verdicts"] = [evidence.encode_verdict(v, now_s) for v in update.verdicts]
     if update.content is not None:
         body["content"] = _compress_rules(update.content)
     return json.dumps(body, separators=(",", ":")).encode()
@@ -197,12 +208,24 @@
             returned_zones=tuple(
                 (str(zone), float(age_s)) for zone, age_s in body.get("returned_zones", ())
             ),
+            samples=tuple(_decode_sample(row, now_s) for row in body.get("evidence", ())),
+            verdicts=tuple(evidence.decode_verdict(row, now_s) for row in body.get("verdicts", ())),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
         reason = f"{type(error).__name__}: {error}"
         raise errors.DatagramError(step="decode update", peer=peer, reason=reason) from error
 
 
+def _decode_sample(row: list, now_s: float) -> evidence.Sample:
+    reporter, zone, sequence, *body = row
+    return evidence.Sample(
+        reporter=str(reporter),
+        zone=str(zone),
+        sequence=int(sequence),
+        row=evidence.decode_row(body, now_s),
+    )
+
+
 def _decode_siblings(rows: list | None, now_s: float) -> tuple[siblings.Sibling, ...] | None:
     if rows is None:
         return None
--- a/zinniaspoke/lean_settings.py
+++ b/zinniaspoke/lean_settings.py
@@ -22,6 +22,7 @@
         metrics: Where counters are served, or None.
         cold_overage: Factor on the openings a second that a cold target bears; None for no limit.
         cold_slack: Openings a second that a cold target may get beyond that.
+        shared_evidence: Whether entry VMs report bad targets to each other through control VMs.
     """
 
     name: str
@@ -36,6 +37,7 @@
     metrics: tuple[str, int] | None = None
     cold_overage: float | None = None
     cold_slack: float = 0.0
+    shared_evidence: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Checks what no later step would notice."""
--- a/zinniaspoke/pacing.py
+++ b/zinniaspoke/pacing.py
@@ -217,6 +217,11 @@
     def __bool__(self) -> bool:
         return self.queued_bytes > 0
 
+    @property
+    def delay_s(self) -> float:
+        """How long the link takes for what is queued."""
+        return self.queued_bytes * self._seconds_per_byte
+
     @property
     def next_send_s(self) -> float:
         """When the link can carry another datagram."""
--- a/zinniaspoke/selection.py
+++ b/zinniaspoke/selection.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from zinniaspoke import choosing, coldshares, counters, errors
+from zinniaspoke import choosing, coldshares, counters, errors, exchange
 
 EVACUATION = "evacuation"
 REFUSED_NO_TARGET = errors.Nothing(reason="refused_no_target")
@@ -41,10 +41,12 @@
     Attributes:
         service: The service that its rule names.
         now_s: Current time.
+        may_probe: Whether it may be used to try a target that is avoided otherwise.
     """
 
     service: str
     now_s: float
+    may_probe: bool = False
 
 
 # Takes a request's target and route, the time that it took and the current time.
@@ -63,12 +65,14 @@
         zone_preference: Whether targets of the own zone are preferred.
         counts: Counters of this process.
         observers: Called with each request's target, route, duration and time; steps add theirs.
+        shared: Evidence about targets shared with other entry VMs, if it is.
     """
 
     view: View
     rng: random.Random
     own_zone: str = ""
     holder: coldshares.Holder | None = None
+    shared: exchange.Exchange | None = None
     zone_preference: bool = False
     counts: counters.Counters = attrs.field(factory=counters.Counters)
     observers: list[Observer] = attrs.field(factory=list)
@@ -159,6 +163,19 @@
     return exclude
 
 
+@register("evidence", order=40, reason=REFUSED_NO_TARGET)
+def _make_evidence(context: Context) -> Filter | None:
+    """Excludes a part of the targets that several entry VMs have found dark or slow."""
+    shared = context.shared
+    if shared is None:
+        return None
+
+    def exclude(loads: Loads, query: Query) -> Loads:
+        return shared.usable(loads, query.now_s, may_probe=query.may_probe)
+
+    return exclude
+
+
 @register("capacity", order=50, reason=NO_CAPACITY)
 def _make_capacity(_context: Context) -> Filter:
     """Excludes targets at their in-flight limit."""
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -15,6 +15,7 @@
     coldshares,
     counters,
     errors,
+    exchange,
     flowstate,
     hashing,
     hedging,
@@ -91,6 +92,8 @@
         hedge_share: float = 0.0,
         zone_preference: bool = False,
         holder: coldshares.Holder | None = None,
+        shared: exchange.Exchange | None = None,
+        counts: counters.Counters | None = None,
     ) -> None:
         """Starts without flows.
 
@@ -102,18 +105,22 @@
             hedge_share: Largest share of openings that may be hedged.
             zone_preference: Whether targets of that zone are preferred.
             holder: This VM's shares of cold targets; None where they have no limit.
+            shared: Evidence about targets shared with other entry VMs, if it is.
+            counts: Counters of this process; None for fresh ones.
         """
         self._view = view
         self._own_zone = own_zone
         self._hedger = hedging.Hedger(share=hedge_share)
         self._holder = holder
-        self.counters = counters.Counters() if holder is None else holder.counters
+        self._observer = None if shared is None else shared.observer
+        self.counters = counters.Counters() if counts is None else counts
         context = selection.Context(
             view=view,
             rng=rng,
             own_zone=own_zone,
             zone_preference=zone_preference,
             holder=holder,
+            shared=shared,
             counts=self.counters,
         )
         self._selector = selection.Selector(context=context, policy=policy)
@@ -270,14 +277,19 @@
         rule = self.rule_of(packet) if proof else REFUSED_NO_ROUTE
         if isinstance(rule, errors.Nothing) or not rule.idempotent:
             return flow.target
-        if flow.load.record_failure(flow.payload_sent_s, now_s):
-            self.newly_suspected.append(flow.target)
+        self._record_failure(flow, flow.payload_sent_s, now_s)
         flow.decided_by = proof
         self.counters.events[f"resets_{proof}"] += 1
         flow.stage = flowstate.Stage.CLOSED
         flow.uncount_as_load()
         return RESET_UNRESPONSIVE
 
+    def _record_failure(self, flow: flowstate.Flow, sent_s: float, now_s: float) -> None:
+        if self._observer is not None:
+            self._observer.record_failure(flow.target.token, sent_s, now_s)
+        if flow.load.record_failure(sent_s, now_s):
+            self.newly_suspected.append(flow.target)
+
     # Openings
 
     def _steer_opening(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
@@ -303,7 +315,8 @@
             return WAITING
         if service not in self._ready_by_service:
             return REFUSED_NO_TARGET
-        found = NO_CAPACITY if queue else self._place(service, now_s)
+        may_probe = not packet.retransmit_count
+        found = NO_CAPACITY if queue else self._place(service, now_s, may_probe=may_probe)
         if found is NO_CAPACITY:
             return self._enqueue(packet, service, rule, now_s)
         if isinstance(found, errors.Nothing):
@@ -350,10 +363,16 @@
         return load.target
 
     def _place(
-        self, service: str, now_s: float, avoid: tuple[choosing.Load | None, ...] = ()
+        self,
+        service: str,
+        now_s: float,
+        *,
+        avoid: tuple[choosing.Load | None, ...] = (),
+        may_probe: bool = False,
     ) -> selection.Selected | errors.Nothing:
         loads = [load for load in self._ready_by_service.get(service, ()) if load not in avoid]
-        found = self._selector.select(loads, selection.Query(service=service, now_s=now_s))
+        query = selection.Query(service=service, now_s=now_s, may_probe=may_probe)
+        found = self._selector.select(loads, query)
         if isinstance(found, errors.Nothing):
             is_kept_off = found is selection.REFUSED_EVACUATED
         else:
@@ -445,8 +464,8 @@
             return self._repeat(flow, now_s)
         # A target that answered another opening meanwhile is reachable; this opening was lost.
         is_unresponsive = flow.load.answered_s < flow.opening_sent_s
-        if is_unresponsive and flow.load.record_failure(flow.opening_sent_s, now_s):
-            self.newly_suspected.append(flow.target)
+        if is_unresponsive:
+            self._record_failure(flow, flow.opening_sent_s, now_s)
         flow.opening_sent_s = now_s
         flow.opening_count += 1
         self._sent_openings.append((now_s, flow))
@@ -488,6 +507,8 @@
             flow.record_payload(packet.sequence, has_response=True)
         answered.record_answer(now_s)
         self._judge.heard_s = now_s
+        if self._observer is not None:
+            self._observer.record_answer(answered.target.token, now_s)
         self.counters.histograms["handshake"].note(now_s - flow.opening_sent_s)
         self.counters.events["flows_opened"] += 1
 
@@ -503,6 +524,8 @@
             if flow.is_counted or flow.retransmit_count:
                 self._judge.note_answered(flow.retransmit_count, flow.last_packet_s)
             flow.retransmit_count = 0
+            if self._observer is not None:
+                self._observe_response(flow, packet)
         if packet.has_payload:
             is_repeated = flow.record_payload(packet.sequence, has_response)
             if is_repeated:
@@ -515,6 +538,14 @@
                 )
             self._finish_request(flow)
 
+    def _observe_response(self, flow: flowstate.Flow, packet: Packet) -> None:
+        now_s = flow.last_packet_s
+        self._observer.record_answer(flow.target.token, now_s)
+        if flow.is_counted and not packet.has_payload:
+            route = (flow.target.service, packet.route)
+            started_s = flow.counted_since_s
+            self._observer.record_duration(flow.target.token, route, started_s, now_s)
+
     def _finish_request(self, flow: flowstate.Flow) -> None:
         if flow.is_counted:
             duration_s = flow.last_packet_s - flow.counted_since_s
