--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -87,6 +87,7 @@
         )
         self._servers: list[asyncio.AbstractServer] = []
         self.task: asyncio.Task[None] | None = None
+        self._gives_shares = False
         self._open_call_count = 0
         self._called_s = 0.0
 
@@ -275,6 +276,11 @@
         is_fresh = now_s - replica.taken_s < coldshares.VIEW_AGE_LIMIT_S
         leads = replica.role is consensus.Role.LEADER and replica.has_leader and is_fresh
         self._granter.look(leads=leads, term=replica.term, now_s=now_s)
+        can_give = self._granter.may_give(now_s)
+        if can_give != self._gives_shares and self.config.cold_overage is not None:
+            event = events.SHARES_OPEN if can_give else events.SHARES_CLOSED
+            self._output.write(event, "lead", self.config.name, f"term {replica.term}")
+            self._gives_shares = can_give
 
     def _take_share_request(self, link: links.Link, payload: bytes, now_s: float) -> None:
         subscriber = self._subscribers.get(link)
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -56,6 +56,10 @@
 STOP_OUT_OF_TURN = _define(
     315, "stop_out_of_turn", "An entry VM ends though too few of its zone stay in rotation."
 )
+SHARES_OPEN = _define(
+    320, "shares_open", "This control VM leads and gives shares of the limits of cold targets."
+)
+SHARES_CLOSED = _define(321, "shares_closed", "This control VM gives no more shares.")
 DATAGRAM_REFUSED = _define(401, "datagram_refused", "A control datagram was dropped.")
 FLOW_RESET = _define(402, "flow_reset", "An open flow was reset; the outcome is unknown.")
 FLOW_REFUSED = _define(403, "flow_refused", "An opening was refused; nothing of it was run.")
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -199,7 +199,9 @@
         before = self.targets.revision
         entry = self.targets.observe(target, now_s, now_s)
         if self.targets.revision != before and entry is not roster.STALE:
-            detail = f"{target.service} {target.state.name.lower()} sequence {target.sequence}"
+            cold = f", cold for {left_s:.1f} s" if (left_s := target.warm_at_s - now_s) > 0 else ""
+            state = target.state.name.lower()
+            detail = f"{target.service} {state} sequence {target.sequence}{cold}"
             self.pending_events.append(
                 (events.TARGET_CHANGED, f"{target.identity}/{target.started_ms}", detail)
             )
