--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -96,29 +96,32 @@
         self.revision = 0
 
 
-def make_cold_selector(view):
+def make_cold_selector(view, *loads):
+    for load in loads:
+        view.targets.observe(load.target, 0.0, 0.0)
+    view.revision += 1
     holder = coldshares.Holder(view=view, incarnation=1, announcement_interval_s=1.2)
     return make_selector(view, holder=holder)
 
 
 def test_cold_target_without_a_share_gets_nothing_though_the_warm_one_is_full():
-    selector = make_cold_selector(ColdView())
     warm, cold = make_load("i-1"), make_load("i-2", warm_at_s=11.0)
+    selector = make_cold_selector(ColdView(), warm, cold)
     assert selector.select([warm, cold], QUERY).load is warm
     warm.in_flight_count = warm.in_flight_limit
     assert selector.select([warm, cold], QUERY) is selection.NO_CAPACITY
 
 
 def test_opening_waits_where_only_cold_targets_are_left():
-    selector = make_cold_selector(ColdView())
     cold = make_load("i-2", warm_at_s=11.0)
+    selector = make_cold_selector(ColdView(), cold)
     assert selector.select([cold], QUERY) is selection.NO_CAPACITY
     assert selector.usable([cold], QUERY) == [cold]
 
 
 def test_suspected_warm_target_is_used_rather_than_a_cold_one_without_a_share():
-    selector = make_cold_selector(ColdView())
     warm, cold = make_load("i-1"), make_load("i-2", warm_at_s=11.0)
+    selector = make_cold_selector(ColdView(), warm, cold)
     warm.record_failure(9.0, 9.9)
     assert selector.select([warm, cold], QUERY).load is warm
 
--- a/zinniaspoke/coldshares.py
+++ b/zinniaspoke/coldshares.py
@@ -122,7 +122,7 @@
         self._leases: dict[int, _Lease] = {}
         self._charged: dict[int, collections.deque[float]] = {}
         self._requested_s = -1e9
-        self._scanned: tuple[int, float] | None = None
+        self._scanned: tuple[int, tuple[float, ...]] | None = None
         self._cold: list[roster.Target] = []
 
     def is_limited(self, target: roster.Target, now_s: float) -> bool:
@@ -138,6 +138,22 @@
         options = self._view.rules.current.service_options.get(target.service)
         return options is not None and options.cold_per_s is not None
 
+    def has_limited(self, now_s: float) -> bool:
+        """Whether any target is limited now; quick while none is.
+
+        Args:
+            now_s: Current time.
+        """
+        # All targets are looked at only after a change.
+        scanned = self._view.revision, tuple(self._view.returned_s.values())
+        if scanned != self._scanned:
+            self._scanned = scanned
+            entries = self._view.targets.entries()
+            self._cold = [e.target for e in entries if e.target.state is roster.State.READY]
+        if self._cold:
+            self._cold = [target for target in self._cold if self.is_limited(target, now_s)]
+        return bool(self._cold)
+
     def has_room(self, target: roster.Target, now_s: float) -> bool:
         """Whether one more opening may be sent to a target now.
 
@@ -200,26 +216,13 @@
         """
         if now_s - self._requested_s < REQUEST_INTERVAL_S:
             return None
-        # A scan of all targets only after a change.
-        scanned = self._view.revision, max(self._view.returned_s.values(), default=0.0)
-        if scanned != self._scanned:
-            self._scanned = scanned
-            self._scan(now_s)
-        self._cold = [target for target in self._cold if self.is_limited(target, now_s)]
-        if not self._cold:
+        if not self.has_limited(now_s):
             return None
         self._requested_s = now_s
         self._forget_expired(now_s)
         tokens = [_TOKEN.pack(target.token) for target in self._cold[:TOKEN_COUNT_MAX]]
         return _HEAD.pack(now_s, self._incarnation) + b"".join(tokens)
 
-    def _scan(self, now_s: float) -> None:
-        self._cold = [
-            entry.target
-            for entry in self._view.targets.entries()
-            if entry.target.state is roster.State.READY and self.is_limited(entry.target, now_s)
-        ]
-
     def _forget_expired(self, now_s: float) -> None:
         self._leases = {t: lease for t, lease in self._leases.items() if lease.is_valid(now_s)}
         self._charged = {t: q for t in self._charged if (q := self._recent(t, now_s))}
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -153,6 +153,7 @@
             "commit_index": replica.commit_index,
             "is_leader": float(replica.role is consensus.Role.LEADER),
             "is_voter": float(replica.is_voter),
+            "gives_shares": float(self._gives_shares),
         }
         return exposition.render(self.counters, gauges)
 
--- a/zinniaspoke/selection.py
+++ b/zinniaspoke/selection.py
@@ -130,6 +130,8 @@
         return None
 
     def exclude(loads: Loads, query: Query) -> Loads:
+        if not holder.has_limited(query.now_s):
+            return loads
         left = [load for load in loads if holder.has_room(load.target, query.now_s)]
         if len(left) < len(loads):
             holder.counters.events["cold_kept_off"] += 1
