--- a/tests/test_coldshares.py
+++ b/tests/test_coldshares.py
@@ -9,7 +9,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from zinniaspoke import coldshares, errors, roster, rulebook, rules
+from zinniaspoke import (
+    coldshares,
+    consensus,
+    control,
+    errors,
+    pacing,
+    roster,
+    rulebook,
+    rules,
+)
+from zinniaspoke.adapters import links
 from zinniaspoke.coldshares import LEADER_WAIT_S, LEASE_S, WINDOW_S
 
 FILE = b"10.9.0.1:443 tcp api # t: t\nservice api cold_per_s=0.0 cold_start_s=2.0 # t: t"
@@ -270,6 +280,28 @@
     assert granted_s >= 100.0 + LEASE_S + WINDOW_S
 
 
+@pytest.mark.parametrize(
+    ("role", "has_leader", "taken_s", "leads"),
+    [
+        (consensus.Role.LEADER, True, 99.8, True),
+        (consensus.Role.LEADER, True, 100.0 - coldshares.VIEW_AGE_LIMIT_S - 0.01, False),
+        (consensus.Role.LEADER, False, 99.8, False),
+        (consensus.Role.FOLLOWER, True, 99.8, False),
+    ],
+)
+def test_only_a_leader_that_a_majority_follows_and_whose_disk_does_not_stall_gives(
+    role, has_leader, taken_s, leads
+):
+    view = control.View(role=role, has_leader=has_leader, taken_s=taken_s)
+    assert view.leads(100.0, coldshares.VIEW_AGE_LIMIT_S) is leads
+
+
+def test_wait_of_a_new_leader_covers_what_an_earlier_one_may_still_believe():
+    reply_s = links.SILENCE_S + coldshares.STANDSTILL_S + consensus.ELECTION_TIMEOUT_MAX_S
+    assert reply_s + coldshares.VIEW_AGE_LIMIT_S <= coldshares.FORMER_LEADER_S
+    assert coldshares.SEND_LIMIT_S >= pacing.OPENING_WAIT_LIMIT_S
+
+
 def test_control_vm_without_bounds_gives_nothing():
     view = View(make_target(1, warm_at_s=200.0))
     granter = make_granter(view, 100.0, overage=None)
--- a/zinniaspoke/control.py
+++ b/zinniaspoke/control.py
@@ -74,6 +74,16 @@
         """
         return self.has_leader and now_s - self.taken_s < consensus.ELECTION_TIMEOUT_MAX_S
 
+    def leads(self, now_s: float, age_limit_s: float) -> bool:
+        """Whether the replica leads with a majority, as known not long ago.
+
+        Args:
+            now_s: Current time.
+            age_limit_s: Longest time since the replica's last step.
+        """
+        is_leader = self.role is consensus.Role.LEADER and self.has_leader
+        return is_leader and now_s - self.taken_s < age_limit_s
+
     def member_names(self) -> set[str]:
         """Returns the names of all members."""
         return {consensus.name_of(member) for member in (*self.voters, *self.learners)}
--- a/zinniaspoke/daemons/lean_control.py
+++ b/zinniaspoke/daemons/lean_control.py
@@ -274,8 +274,7 @@
 
     def _look(self, now_s: float) -> None:
         replica = self.replica
-        is_fresh = now_s - replica.taken_s < coldshares.VIEW_AGE_LIMIT_S
-        leads = replica.role is consensus.Role.LEADER and replica.has_leader and is_fresh
+        leads = replica.leads(now_s, coldshares.VIEW_AGE_LIMIT_S)
         self._granter.look(leads=leads, term=replica.term, now_s=now_s)
         can_give = self._granter.may_give(now_s)
         if can_give != self._gives_shares and self.config.cold_overage is not None:
