A route that is removed while its upload waits does not end the entry VM

Cause: a datagram without a rule in the queue of a bulk flow whose record had ended was taken as the flow's rule. Change: a queue keeps the rule that it began with; property test with rules that change.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,6 +5,8 @@
 
 import attrs
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from zinniaspoke import admission, bulk, counters, pacing, rules, steering
 
@@ -397,6 +399,66 @@
     assert (pacer.queued_bytes, pacer.bulk_bytes) == (0, 0)
 
 
+def test_route_that_is_removed_while_its_upload_waits_harms_nothing():
+    """Failure: a manifest takes the route away; the flow's packets come without a rule."""
+    pacer = make_pacer()
+    fill(pacer, b"first", 3, None)
+    pacer.submit(datagram(b"u", 0, BULK), 0.0)
+    pacer.submit(datagram(b"u", None, BULK, size=42, ends_flow=True), 0.0)
+    first = [made for _ in range(8) for made in pacer.take_due(max(0.0, pacer.next_send_s))]
+    assert b"u" in [made.flow for made in first]
+    fill(pacer, b"other", 3, None, 0.1)
+    pacer.submit(datagram(b"u", 1, None), 0.1)
+    sent = drain(pacer, 0.2)
+    assert [made.flow for made in sent].count(b"u") == 1
+    assert (pacer.queued_bytes, pacer.bulk_bytes) == (0, 0)
+
+
+RULES = (None, SHORT, BULK, make_rule("198.18.0.1:82 tcp shop urgency=0 # test"))
+
+
+@given(
+    submitted=st.lists(
+        st.tuples(
+            st.sampled_from([b"a", b"b", b"c", b"d", b"e"]),
+            st.integers(0, 20) | st.none(),
+            st.sampled_from(RULES),
+            st.sampled_from(["send", "send", "send", "open", "end", "reset"]),
+            st.floats(0.0, 0.3),
+        ),
+        max_size=60,
+    )
+)
+def test_any_traffic_leaves_once_and_the_counts_stay_true(submitted):
+    """Rules change under open flows, flows end and are reset while datagrams of them wait."""
+    counts = counters.Counters()
+    pacer = pacing.Pacer(bytes_per_s=20_000.0, counts=counts)
+    now_s = 0.0
+    sent = []
+    for flow, sequence, rule, step, gap_s in submitted:
+        now_s += gap_s
+        sent += pacer.take_due(now_s)
+        if step == "reset":
+            pacer.cancel(flow)
+        made = datagram(
+            flow, sequence, rule, 900, is_opening=step == "open", ends_flow=step == "end"
+        )
+        if pacer.submit(made, now_s):
+            sent.append(made)
+        queues = pacer._queues.values()
+        waiting_bytes = sum(queue.size_bytes for queue in queues)
+        assert pacer.queued_bytes == waiting_bytes + sum(
+            waiting.wire_bytes for waiting in pacer._openings
+        )
+        assert pacer.bulk_bytes == sum(q.size_bytes for q in queues if q.turns is None)
+    sent += drain(pacer, now_s)
+    assert (pacer.queued_bytes, pacer.bulk_bytes) == (0, 0)
+    assert len({id(made) for made in sent}) == len(sent)
+    lost = sum(counts.drops.values()) + counts.events["copies_replaced"]
+    if all(step[3] != "reset" for step in submitted):
+        assert len(sent) + lost == len(submitted)
+
+
 def test_records_of_flows_that_end_unseen_are_forgotten():
     """Load: entry VMs restart, so most flows here never show their end."""
     flows = bulk.BulkFlows()
--- a/zinniaspoke/pacing.py
+++ b/zinniaspoke/pacing.py
@@ -105,13 +105,15 @@
     Attributes:
         deficit_bytes: What the flow may still send in this turn.
         size_bytes: Sum of the waiting datagrams.
+        rule: The rule of its first datagram; later ones may come under another.
         turns: Where it takes its turns; None for a bulk flow.
     """
 
-    __slots__ = ("datagrams", "deficit_bytes", "flow", "size_bytes", "turns")
+    __slots__ = ("datagrams", "deficit_bytes", "flow", "rule", "size_bytes", "turns")
 
-    def __init__(self, flow: bytes, turns: "_Turns | None") -> None:
+    def __init__(self, flow: bytes, rule: rules.Rule | None, turns: "_Turns | None") -> None:
         self.flow = flow
+        self.rule = rule
         self.turns = turns
         self.datagrams = collections.deque[Datagram]()
         self.deficit_bytes = QUANTUM_BYTES
@@ -276,7 +278,7 @@
             if turns is None:
                 self._turns[datagram.urgency] = turns = _Turns()
                 self._turns = dict(sorted(self._turns.items()))
-        queue = self._queues[datagram.flow] = _FlowQueue(datagram.flow, turns)
+        queue = self._queues[datagram.flow] = _FlowQueue(datagram.flow, datagram.rule, turns)
         if turns is None:
             self._bulk_order.append(queue)
         else:
@@ -374,7 +376,9 @@
         waiting = []
         for queue in self._bulk_order:
             if queue.datagrams:
-                waiting.append(self.bulk_flows.find(queue.flow, queue.datagrams[0].rule, now_s))
+                flow = self.bulk_flows.find(queue.flow, queue.rule, now_s)
+                flow.waiting_bytes = queue.size_bytes
+                waiting.append(flow)
             else:
                 del self._queues[queue.flow]
         rate = self.bulk_bytes_per_s(now_s)
