--- a/tests/test_zonechoice.py
+++ b/tests/test_zonechoice.py
@@ -251,3 +251,17 @@
         wait.record(4.0, number / 10)
     assert wait.at(4.0) > 3.5
     assert wait.at(14.0) < 1.2
+
+
+def test_targets_that_name_no_slots_and_times_of_zero_are_borne():
+    choice = zonechoice.ZoneChoice(own_zone="a", rng=random.Random(1))
+    loads = [test_selection.make_load(f"i-{zone}{n}", zone) for zone in ZONES for n in range(5)]
+    loads = [attrs.evolve(load, target=attrs.evolve(load.target, slot_count=0)) for load in loads]
+    for number in range(1060):
+        choice.record_response(loads[0], ROUTE, 0.0 if number < 1000 else 1.0, number / 100)
+    assert choice.share_away("api") == 0.0
+    seen = set()
+    for number in range(200):
+        left = choice.choose(loads, selection.Query(service="api", now_s=11.0 + number / 100))
+        seen.add(left[0].target.zone)
+    assert seen == set(ZONES)
--- a/zinniaspoke/zonechoice.py
+++ b/zinniaspoke/zonechoice.py
@@ -16,6 +16,7 @@
 # A route's base follows its response times, downward faster, so that it stays low under load.
 BASE_WEIGHT_DOWN = 1 / 100
 BASE_WEIGHT_UP = 1 / 400
+LEAST_BASE_S = 1e-4
 # A request that took longer counts as this many bases.
 WAIT_LIMIT = 10.0
 # Weight of a new measurement in the average, and how fast one that is not renewed is forgotten.
@@ -129,9 +130,9 @@
         """
         base_s = self._bases.get(route)
         if base_s is None:
-            base_s = self._bases[route] = max(duration_s, 1e-4)
+            base_s = self._bases[route] = max(duration_s, LEAST_BASE_S)
         weight = BASE_WEIGHT_UP if duration_s > base_s else BASE_WEIGHT_DOWN
-        self._bases[route] = base_s + weight * (duration_s - base_s)
+        self._bases[route] = max(base_s + weight * (duration_s - base_s), LEAST_BASE_S)
         wait = min(duration_s / base_s, WAIT_LIMIT)
         state = self._services.setdefault(load.target.service, ServiceState())
         state.waits.setdefault(load.target.zone, Wait()).record(wait, now_s)
@@ -167,7 +168,8 @@
         self._count("zone_other_busy")
         least = min(waits.values())
         weights = [
-            sum(load.target.slot_count for load in by_zone[zone]) / (1 + waits[zone] - least)
+            sum(max(1, load.target.slot_count) for load in by_zone[zone])
+            / (1 + waits[zone] - least)
             for zone in by_zone
         ]
         return by_zone[self._rng.choices(list(by_zone), weights)[0]]
