Zones are taken before rules that cannot be read; sets name a lower version once it is heard

An update with rules that this VM cannot parse lost the evacuated zones that came with it. A leader that was elected again could write a version into the set that an applicant does not have.

The stateful test now lets an order be overtaken by its opposite; with the check of the latest time taken out it fails, before it passed.

--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -108,6 +108,17 @@
     assert all_hold(cluster)()
 
 
+def test_leader_without_majority_does_not_confirm_an_evacuation_that_ended():
+    cluster = replicas.Cluster()
+    assert answer(cluster, cluster.order("a")).outcome == YES
+    old = cluster.leader()
+    cluster.isolate(old)
+    key = cluster.order("a", True, through=old)
+    cluster.run_until(lambda: cluster.leader() not in (None, old))
+    assert answer(cluster, cluster.order("a", False, cluster.leader())).outcome == YES
+    assert answer(cluster, key).outcome == UNKNOWN
+
+
 def test_replica_that_does_not_lead_says_so():
     cluster = replicas.Cluster()
     leader = cluster.wait_for_leader()
@@ -220,6 +231,17 @@
     assert answer(cluster, cluster.order("b")).outcome == YES
 
 
+def test_set_names_the_lower_version_once_its_leader_hears_a_member_that_has_it():
+    cluster = replicas.Cluster()
+    cluster.accept(1)
+    assert cluster.cores["a"].replica.replica_set.version == consensus.VERSION
+    cluster = make_mixed()
+    cluster.accept(1)
+    cluster.old = frozenset("c")
+    cluster.run(1.0)
+    assert {core.replica.replica_set.version for core in cluster.cores.values()} == {0}
+
+
 @pytest.mark.parametrize("has_order", [False, True])
 def test_replica_of_the_version_before_may_join_only_before_the_first_order(has_order):
     cluster = make_mixed(
@@ -364,6 +386,22 @@
         if key[1] is not None:
             self.given.append(attrs.evolve(order, key=key))
 
+    @stateful.rule(
+        zone=st.sampled_from("ab"),
+        is_evacuated=st.booleans(),
+        index=st.integers(0, 4),
+        gaps=st.tuples(st.integers(0, 60), st.integers(0, 30)),
+    )
+    def overtake(self, zone, is_evacuated, index, gaps):
+        """An order, then its opposite, then a copy of the first that was on its way."""
+        self.order(zone, is_evacuated, index, has_late_copy=True)
+        self.pass_time(gaps[0])
+        self.order(zone, not is_evacuated, index, has_late_copy=False)
+        self.pass_time(gaps[1])
+        leader = self.cluster.leader()
+        if leader is not None:
+            self.enter(self.copies[-1], leader)
+
     @stateful.precondition(lambda self: self.copies)
     @stateful.rule(data=st.data())
     def deliver_copy(self, data):
--- a/tests/test_subscription.py
+++ b/tests/test_subscription.py
@@ -5,7 +5,7 @@
 import pytest
 from test_steering import Vm, target
 
-from zinniaspoke import events, feed, siblings, subscription
+from zinniaspoke import errors, events, feed, siblings, subscription
 
 
 def make(*seeds, now_s=0.0):
@@ -175,3 +175,11 @@
     vm.apply_update(target(1), places_revision=4, is_current=False, **RULES)
     assert not vm.view.is_ready(vm.now_s)
     assert vm.view.is_ready(vm.now_s + subscription.CONFIRMATION_TIMEOUT_S + 0.1)
+
+
+def test_evacuated_zones_are_taken_with_rules_that_cannot_be_read():
+    view = make("c1:1")
+    update = feed.Update(number=1, content=b"?", places_revision=1, evacuated_zones=("a",))
+    with pytest.raises(errors.RuleError):
+        view.apply_update("c1:1", update, 1.0)
+    assert view.evacuated_zones == {"a"}
--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -638,7 +638,7 @@
         }
         changed = self._planner.next_change(current, health, self.discovery.pending_joins(now_s))
         version = self._version_of(changed or current)
-        if changed is not None or version > self._replica_set.version:
+        if changed is not None or version != self._replica_set.version:
             members = changed or current
             replica_set = control_pb2.ReplicaSet(
                 voters=members.voters, learners=members.learners, version=version
--- a/zinniaspoke/subscription.py
+++ b/zinniaspoke/subscription.py
@@ -177,12 +177,12 @@
             state.controls = update.controls
         for observation in update.observations:
             self._apply_observation(state, observation, now_s)
+        if update.evacuated_zones is not None and update.places_revision > self.places_revision:
+            self._take_places(name, update, now_s)
         if update.content is not None and self.rules.install(update.number, update.content):
             self.revision += 1
             self.pending_events.append((events.RULES_IN_FORCE, name, f"number {update.number}"))
         state.number = update.number
-        if update.evacuated_zones is not None and update.places_revision > self.places_revision:
-            self._take_places(name, update, now_s)
         if update.is_current:
             state.last_current_s = now_s
             self._are_places_confirmed |= self.places_revision >= update.places_revision
