--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -28,7 +28,8 @@
     Each entry VM ticks on its own phase. ``is_dark`` tells whether a VM reaches a target.
     """
 
-    def __init__(self, vm_count=12, target_count=12, seed=1, control_count=4):
+    def __init__(self, vm_count=12, target_count=12, seed=1, control_count=4, is_shared=True):
+        self.is_shared = is_shared
         self.rng = random.Random(seed)
         self.now_s = 100.0
         self.targets = [target(n, zone=ZONES[n % 3]) for n in range(1, target_count + 1)]
@@ -86,7 +87,7 @@
         self.agenda.append((self.now_s + delay_s, len(self.agenda), call))
 
     def feed(self, control, vm):
-        if not self.is_linked(vm, control):
+        if not self.is_shared or not self.is_linked(vm, control):
             return
         update = control.update_for(vm.subscribers[control.name], self.now_s)
         if update is None:
--- a/tests/test_evidence_fleet.py
+++ b/tests/test_evidence_fleet.py
@@ -45,6 +45,23 @@
     assert not fleet.avoiding(dark)
 
 
+def lost_openings(is_shared, seed):
+    """15 of 60 targets turn dark at once; their announcements would stop after 3.6 s."""
+    fleet = Fleet(vm_count=78, target_count=60, is_shared=is_shared, seed=seed)
+    fleet.run(0.5, rate_per_s=215)
+    dark = {chosen.token for chosen in fleet.targets[::4]}
+    lost = []
+    fleet.is_reachable = lambda vm, chosen: (
+        chosen.token not in dark or lost.append(fleet.now_s) or False
+    )
+    fleet.run(3.6, rate_per_s=215)
+    return len(lost)
+
+
+def test_many_dark_targets_cost_less_than_half_of_what_they_cost_without_sharing():
+    assert 2 * lost_openings(True, seed=1) < lost_openings(False, seed=1)
+
+
 def test_cut_between_zones_leaves_each_target_to_its_own_zone():
     """All links of zone a to targets of b are cut; the control VMs are reached by all."""
     fleet = Fleet(vm_count=18)
