Split steering by job: the table of targets, and what a flow's packets tell

Change: loadtable.py keeps targets by token and service, accounting.py counts flows as load and passes on answers, silence and durations; steering decides. No behaviour changes; tests name the new places.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from zinniaspoke import backlog, choosing, steering
+from zinniaspoke import accounting, backlog, choosing, steering
 
 SLOT_COUNT = 2
 IN_FLIGHT_LIMIT = SLOT_COUNT * choosing.IN_FLIGHT_PER_SLOT
@@ -128,7 +128,7 @@
     for number in range(IN_FLIGHT_LIMIT):
         vm.packet(flow(number))
     assert vm.packet(flow(100)) is steering.WAITING
-    vm.now_s += steering.OPENING_LOAD_S + 0.01
+    vm.now_s += accounting.OPENING_LOAD_S + 0.01
     assert [p.flow for p, _ in vm.core.take_released(vm.now_s)] == [flow(100)]
 
 
@@ -211,7 +211,7 @@
 def test_unresponsive_target_is_tried_beyond_its_in_flight_limit():
     """Without further openings a recovery, as after a zone partition, would go unnoticed."""
     vm, _ = vm_at_limit()
-    load = next(iter(vm.core._loads.values()))
+    load = next(iter(vm.core._table.loads.values()))
     load.record_failure(vm.now_s - 0.2, vm.now_s)
     assert vm.packet(flow(100)).identity == "i-1"
 
@@ -257,7 +257,7 @@
         for packet, chosen in vm.core.take_released(vm.now_s):
             target_by_flow[packet.flow] = chosen
             vm.packet(packet.flow, steering.Kind.DATA, chosen.token)
-        counts = [load.in_flight_count for load in vm.core._loads.values()]
+        counts = [load.in_flight_count for load in vm.core._table.loads.values()]
         assert all(0 <= count <= choosing.IN_FLIGHT_PER_SLOT for count in counts)
         assert not vm.core._backlogs["ledger"] or min(counts) == choosing.IN_FLIGHT_PER_SLOT
 
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -234,4 +234,4 @@
             assert found is bound
     vm.run(flowstate.MIN_RETRANSMIT_S + steering.IDLE_LOAD_TIMEOUT_S + 1.0)
     vm.core.take_released(vm.now_s)
-    assert all(load.in_flight_count == 0 for load in vm.core._loads.values())
+    assert all(load.in_flight_count == 0 for load in vm.core._table.loads.values())
--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -207,7 +207,7 @@
             vm.now_s = callers.now_s
             vm.packet(flow(number), retransmit_count=1)
     vm = callers.vm_of(0)
-    assert vm.core._loads[full.token].failure_count > 0
+    assert vm.core._table.loads[full.token].failure_count > 0
     assert test_steering.retransmit(vm, flow(0), full, (0.2, 0.6)) is None
 
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -174,7 +174,7 @@
             vm.packet(flow(number))
         else:
             vm.packet(flow(number), steering.Kind.DATA, chosen.token)
-    assert [t.identity for t in vm.core.newly_suspected][:1] == [unresponsive]
+    assert [t.identity for t in vm.core.take_suspected()][:1] == [unresponsive]
 
 
 def test_flow_is_bound_to_target_that_answered_first():
@@ -256,7 +256,7 @@
     ended = vm.open(flow(1))
     vm.open(flow(2))
     vm.packet(flow(1), steering.Kind.END, ended.token)
-    load = next(iter(vm.core._loads.values()))
+    load = next(iter(vm.core._table.loads.values()))
     assert load.in_flight_count == 1
     vm.run(steering.IDLE_LOAD_TIMEOUT_S + 1.0)
     assert load.in_flight_count == 0
@@ -268,7 +268,7 @@
     """Flows between requests and downloads being sent by the kernel occupy no slot."""
     vm = Vm(target(1))
     chosen = vm.open(flow(1))
-    load = next(iter(vm.core._loads.values()))
+    load = next(iter(vm.core._table.loads.values()))
     vm.packet(flow(1), steering.Kind.DATA, chosen.token, has_payload=True)
     assert load.in_flight_count == 1
     vm.finish(flow(1), chosen)
@@ -285,7 +285,7 @@
     vm = Vm(*(target(n) for n in range(1, 8)))
     for number in range(70):
         vm.open(flow(number))
-    assert {load.in_flight_count for load in vm.core._loads.values()} == {10}
+    assert {load.in_flight_count for load in vm.core._table.loads.values()} == {10}
 
 
 @pytest.mark.parametrize("policy", ["random", "least_open"])
@@ -324,7 +324,7 @@
         vm.now_s += 0.01
     vm.now_s += 0.2
     vm.packet(flow(1))
-    assert vm.core.newly_suspected == []
+    assert vm.core.take_suspected() == []
 
 
 IDEMPOTENT_RULES = RULES.replace(b"tcp ledger", b"tcp ledger idempotent=yes")
@@ -382,7 +382,7 @@
     chosen = vm.open(flow(1))
     vm.now_s += 3.0
     assert retransmit_beside_others(vm, flow(1), chosen) == 1.4
-    assert chosen.identity in [t.identity for t in vm.core.newly_suspected]
+    assert chosen.identity in [t.identity for t in vm.core.take_suspected()]
     assert vm.packet(flow(2)).identity != chosen.identity
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -70,20 +70,20 @@
 
     play_openings(vm, is_reachable, 5, first=1000)
     assert seen == set(ZONES)
-    assert not any(vm.core._zones[zone].is_suspected for zone in ZONES)
+    assert not any(vm.core._table._zones[zone].is_suspected for zone in ZONES)
 
 
 def test_targets_that_fail_one_at_a_time_do_not_make_their_zone_suspected():
     vm = site()
     dead = {"i-1", "i-4", "i-8", "i-12", "i-21"}
     play_openings(vm, lambda chosen, _: chosen.identity not in dead, 10)
-    assert not any(vm.core._zones[zone].is_suspected for zone in ZONES)
+    assert not any(vm.core._table._zones[zone].is_suspected for zone in ZONES)
 
 
 def test_all_zones_suspected_are_used_as_if_none_were():
     vm = site(6)
     play_openings(vm, lambda chosen, _: False, 5)
-    assert all(vm.core._zones[zone].is_suspected for zone in ZONES)
+    assert all(vm.core._table._zones[zone].is_suspected for zone in ZONES)
     assert vm.packet(flow(5000)).identity
 
 
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -534,10 +534,9 @@
         for event, peer, detail in self.view.pending_events:
             self._output.write(event, "follow", peer, detail)
         self.view.pending_events.clear()
-        for target in self.steering.newly_suspected:
+        for target in self.steering.take_suspected():
             detail = f"{target.service} at {target.address[0]}, openings go unanswered"
             self._output.write(events.TARGET_SUSPECTED, "open flow", target.identity, detail)
-        self.steering.newly_suspected.clear()
         for zone, is_suspected in self.steering.take_zone_changes():
             event = events.ZONE_SUSPECTED if is_suspected else events.ZONE_ANSWERS
             self._output.write(event, "open flow", zone, "as seen from this VM")
--- /dev/null
+++ b/zinniaspoke/loadtable.py
@@ -0,0 +1,99 @@
+"""Look-up tables of an entry VM's targets, with the load and health that it observes of each."""
+
+import collections
+from collections.abc import Sequence
+
+from zinniaspoke import choosing, resets, roster, subscription, zones
+
+# Incarnations that have ended, by token, for the flows that were open there.
+FORMER_LIMIT = 1000
+
+
+class LoadTable:
+    """Targets by routing token and by service, rebuilt when the view has changed.
+
+    Attributes:
+        loads: Load and health of all known targets, by token.
+    """
+
+    def __init__(self, *, view: subscription.Subscription, judge: resets.Judge) -> None:
+        """Starts empty.
+
+        Args:
+            view: The rules and targets that this VM knows.
+            judge: Is told which targets have ended.
+        """
+        self._view = view
+        self._judge = judge
+        self.loads: dict[int, choosing.Load] = {}
+        self._former: dict[int, choosing.Load] = {}
+        self._ready_by_service: dict[str, list[choosing.Load]] = {}
+        self._zones = collections.defaultdict[str, zones.ZoneHealth](zones.ZoneHealth)
+        self._revision = -1
+
+    def find(self, token: int) -> choosing.Load | None:
+        """Returns the target that a routing token names, or None.
+
+        Args:
+            token: The token.
+        """
+        return self.loads.get(token) or self._former.get(token)
+
+    def ready(self, service: str) -> Sequence[choosing.Load]:
+        """Returns the targets of a service that take new flows.
+
+        Args:
+            service: The service.
+        """
+        return self._ready_by_service.get(service, ())
+
+    def refresh(self, now_s: float) -> None:
+        """Rebuilds the tables if targets or rules have changed.
+
+        Args:
+            now_s: Current time.
+        """
+        if self._revision == self._view.revision:
+            return
+        self._revision = self._view.revision
+        self._ready_by_service = {}
+        target_by_token: dict[int, roster.Target] = {}
+        entries = sorted(self._view.targets.entries(), key=lambda e: e.target.started_ms)
+        for entry in entries:
+            target = entry.target
+            # On a token collision the older target keeps the token and the other gets no flows.
+            if target_by_token.setdefault(target.token, target) is target:
+                self._update(target, now_s)
+        for token in self.loads.keys() - target_by_token.keys():
+            self._retire(self.loads.pop(token), now_s)
+        self._judge.keep_ended([*target_by_token, *self._former])
+
+    def _update(self, target: roster.Target, now_s: float) -> None:
+        load = self.loads.get(target.token)
+        if load is None:
+            load = choosing.Load(target=target, zone=self._zones[target.zone])
+            self.loads[target.token] = load
+        load.target = target
+        load.is_silent = not self._view.is_alive(target.identity)
+        if target.state is roster.State.READY:
+            self._ready_by_service.setdefault(target.service, []).append(load)
+        elif target.state is roster.State.ENDED:
+            self._judge.note_ended(target.token, now_s)
+
+    def _retire(self, load: choosing.Load, now_s: float) -> None:
+        """Keeps what its flows need of a target that has started again."""
+        entry = self._view.targets.find(load.target.identity)
+        if entry is not None and entry.target.token != load.target.token:
+            self._former[load.target.token] = load
+            self._judge.note_ended(load.target.token, now_s)
+            if len(self._former) > FORMER_LIMIT:
+                del self._former[next(iter(self._former))]
+
+    def take_zone_changes(self) -> list[tuple[str, bool]]:
+        """Returns the availability zones that became suspected, or answer again, since last asked.
+
+        Returns:
+            Names of zones, each with whether it is suspected.
+        """
+        changes = [(name, zone.take_change()) for name, zone in self._zones.items()]
+        return [(name, change) for name, change in changes if change is not None]
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -5,10 +5,10 @@
 finds the flow's target without asking another. Targets answer their callers directly.
 """
 
-import collections
 import random
 
 from zinniaspoke import (
+    accounting,
     backlog,
     callerpacket,
     choosing,
@@ -19,6 +19,7 @@
     flowstate,
     hashing,
     hedging,
+    loadtable,
     packets,
     resets,
     roster,
@@ -26,7 +27,6 @@
     selection,
     subscription,
     zonechoice,
-    zones,
 )
 
 # Imported so that their steps are registered.
@@ -34,10 +34,6 @@
 # Callers send an opening at these times after the first one, and time out at CONNECT_TIMEOUT_S.
 RETRANSMIT_TIMES_S = (0.0, 0.2, 0.6)
 CONNECT_TIMEOUT_S = 1.4
-# A reachable target answers an opening within a few round trips. An opening that was refused, lost
-# or answered after its caller's timeout counts as load no longer than this; a retransmission
-# counts again.
-OPENING_LOAD_S = 0.2
 # A flow without packets for this long has no request in progress: requests take well under
 # a second, and a caller keeps acknowledging a download.
 IDLE_LOAD_TIMEOUT_S = 2.0
@@ -46,8 +42,6 @@
 RECORD_TIMEOUT_S = 15.0
 CLOSED_RECORD_TIMEOUT_S = 3.0
 SWEEP_INTERVAL_S = 0.5
-# Incarnations that have ended, by token, for the flows that were open there.
-FORMER_LIMIT = 1000
 
 REFUSED_NO_ROUTE = errors.Nothing(reason="refused_no_route")
 REFUSED_NO_TARGET = selection.REFUSED_NO_TARGET
@@ -79,7 +73,6 @@
 
     Attributes:
         counters: Counters and histograms for the metrics.
-        newly_suspected: Targets that became suspected since this list was last cleared.
     """
 
     def __init__(
@@ -112,7 +105,6 @@
         self._own_zone = own_zone
         self._hedger = hedging.Hedger(share=hedge_share)
         self._holder = holder
-        self._observer = None if shared is None else shared.observer
         self.counters = counters.Counters() if counts is None else counts
         context = selection.Context(
             view=view,
@@ -124,20 +116,19 @@
             counts=self.counters,
         )
         self._selector = selection.Selector(context=context, policy=policy)
-        self.newly_suspected: list[roster.Target] = []
-        self._flows: dict[bytes, flowstate.Flow] = {}
-        self._loads: dict[int, choosing.Load] = {}
         self._judge = resets.Judge()
-        self._former: dict[int, choosing.Load] = {}
-        self._zones = collections.defaultdict[str, zones.ZoneHealth](zones.ZoneHealth)
-        self._target_by_token: dict[int, roster.Target] = {}
-        self._ready_by_service: dict[str, list[choosing.Load]] = {}
-        # Services with a ready target in an evacuated zone.
-        self._backlogs = collections.defaultdict(backlog.Backlog)
+        self._table = loadtable.LoadTable(view=view, judge=self._judge)
+        self._accounting = accounting.Accounting(
+            judge=self._judge,
+            hedger=self._hedger,
+            selector=self._selector,
+            evidence=None if shared is None else shared.observer,
+            counts=self.counters,
+            own_zone=own_zone,
+        )
+        self._backlogs = self._accounting.backlogs
+        self._flows: dict[bytes, flowstate.Flow] = {}
         self._rejected: list[tuple[Packet, errors.Nothing]] = []
-        # Openings that count as load, with the time of forwarding, oldest first.
-        self._sent_openings = collections.deque[tuple[float, flowstate.Flow]]()
-        self._revision = -1
         self._swept_s = 0.0
 
     def __len__(self) -> int:
@@ -164,41 +155,6 @@
             f"decided by {flow.decided_by or 'load'}"
         )
 
-    def _refresh(self, now_s: float) -> None:
-        """Rebuilds the look-up tables after a change of targets or rules."""
-        self._revision = self._view.revision
-        self._target_by_token = {}
-        self._ready_by_service = {}
-        entries = sorted(self._view.targets.entries(), key=lambda e: e.target.started_ms)
-        for entry in entries:
-            target = entry.target
-            # On a token collision the older target keeps the token and the other gets no flows.
-            if self._target_by_token.setdefault(target.token, target) is not target:
-                continue
-            load = self._loads.get(target.token)
-            if load is None:
-                load = self._loads[target.token] = choosing.Load(
-                    target=target, zone=self._zones[target.zone]
-                )
-            load.target = target
-            load.is_silent = not self._view.is_alive(target.identity)
-            if target.state is roster.State.READY:
-                self._ready_by_service.setdefault(target.service, []).append(load)
-            elif target.state is roster.State.ENDED:
-                self._judge.note_ended(target.token, now_s)
-        for token in self._loads.keys() - self._target_by_token.keys():
-            self._retire(self._loads.pop(token), now_s)
-        self._judge.keep_ended([*self._target_by_token, *self._former])
-
-    def _retire(self, load: choosing.Load, now_s: float) -> None:
-        """Keeps what its flows need of a target that has started again."""
-        entry = self._view.targets.find(load.target.identity)
-        if entry is not None and entry.target.token != load.target.token:
-            self._former[load.target.token] = load
-            self._judge.note_ended(load.target.token, now_s)
-            if len(self._former) > FORMER_LIMIT:
-                del self._former[next(iter(self._former))]
-
     def steer(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         """Chooses the target of a caller's packet.
 
@@ -210,8 +166,7 @@
             The target, or the reason why there is none. For a reason in ``REFUSALS`` the caller is
             sent a refusal; for ``WAITING`` the opening is queued; otherwise it is dropped silently.
         """
-        if self._revision != self._view.revision:
-            self._refresh(now_s)
+        self._table.refresh(now_s)
         if packet.kind is Kind.OPENING:
             return self._steer_opening(packet, now_s)
         flow = self._flows.get(packet.flow)
@@ -219,17 +174,19 @@
             return self._steer_unrecorded(packet, now_s)
         flow.last_packet_s = now_s
         if flow.stage is flowstate.Stage.OPENING:
-            self._complete_handshake(flow, packet, now_s)
+            answered = self._table.loads.get(packet.token)
+            if answered is not None:
+                self._accounting.complete_handshake(flow, answered, packet, now_s)
         else:
-            self._update_load(flow, packet)
+            self._accounting.update_load(flow, packet)
         if packet.kind is not Kind.DATA:
-            self._close(flow)
+            self._accounting.close(flow)
         elif flow.retransmit_count:
             return self._judge_open(flow, packet, now_s)
         return flow.target
 
     def _steer_unrecorded(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
-        load = self._loads.get(packet.token) or self._former.get(packet.token)
+        load = self._table.find(packet.token)
         if packet.kind is not Kind.DATA or load is not None:
             # Ended, or the target that its first opening went to has answered.
             for queue in self._backlogs.values():
@@ -247,19 +204,19 @@
                 acknowledged=packet.acknowledged,
                 is_counted=False,
             )
-            self._update_load(flow, packet)
+            self._accounting.update_load(flow, packet)
         return load.target
 
     # Unresponsive targets
 
     def take_zone_changes(self) -> list[tuple[str, bool]]:
-        """Returns the availability zones that became suspected, or answer again, since last asked.
+        """See ``loadtable.LoadTable.take_zone_changes``."""
+        return self._table.take_zone_changes()
 
-        Returns:
-            Names of zones, each with whether it is suspected.
-        """
-        changes = [(name, zone.take_change()) for name, zone in self._zones.items()]
-        return [(name, change) for name, change in changes if change is not None]
+    def take_suspected(self) -> list[roster.Target]:
+        """Returns the targets that became suspected since this was last called."""
+        loads, self._accounting.newly_suspected = self._accounting.newly_suspected, []
+        return [load.target for load in loads]
 
     def record_link_busy(self, now_s: float) -> None:
         """Records that packets wait for this VM's link, so that silence proves nothing.
@@ -277,19 +234,13 @@
         rule = self.rule_of(packet) if proof else REFUSED_NO_ROUTE
         if isinstance(rule, errors.Nothing) or not rule.idempotent:
             return flow.target
-        self._record_failure(flow, flow.payload_sent_s, now_s)
+        self._accounting.record_failure(flow, flow.payload_sent_s, now_s)
         flow.decided_by = proof
         self.counters.events[f"resets_{proof}"] += 1
         flow.stage = flowstate.Stage.CLOSED
         flow.uncount_as_load()
         return RESET_UNRESPONSIVE
 
-    def _record_failure(self, flow: flowstate.Flow, sent_s: float, now_s: float) -> None:
-        if self._observer is not None:
-            self._observer.record_failure(flow.target.token, sent_s, now_s)
-        if flow.load.record_failure(sent_s, now_s):
-            self.newly_suspected.append(flow.target)
-
     # Openings
 
     def _steer_opening(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
@@ -313,7 +264,7 @@
         queue = self._backlogs[service]
         if packet.flow in queue:
             return WAITING
-        if service not in self._ready_by_service:
+        if not self._table.ready(service):
             return REFUSED_NO_TARGET
         may_probe = not packet.retransmit_count
         found = NO_CAPACITY if queue else self._place(service, now_s, may_probe=may_probe)
@@ -342,7 +293,6 @@
         self, packet: Packet, found: selection.Selected, rule: rules.Rule, now_s: float
     ) -> roster.Target:
         load = found.load
-        load.in_flight_count += 1
         flow = self._flows[packet.flow] = flowstate.Flow(
             target=load.target,
             load=load,
@@ -350,9 +300,10 @@
             opening_sent_s=now_s,
             counted_since_s=now_s,
             last_packet_s=now_s,
+            is_counted=False,
             decided_by=found.decided_by,
         )
-        self._sent_openings.append((now_s, flow))
+        self._accounting.record_opening(flow, now_s)
         if rule.idempotent and not packet.retransmit_count:
             self._hedger.record_opening(
                 hedging.Due(flow=packet.flow, opening=packet, sent_s=now_s),
@@ -370,7 +321,7 @@
         avoid: tuple[choosing.Load | None, ...] = (),
         may_probe: bool = False,
     ) -> selection.Selected | errors.Nothing:
-        loads = [load for load in self._ready_by_service.get(service, ()) if load not in avoid]
+        loads = [load for load in self._table.ready(service) if load not in avoid]
         query = selection.Query(service=service, now_s=now_s, may_probe=may_probe)
         found = self._selector.select(loads, query)
         if isinstance(found, errors.Nothing):
@@ -389,7 +340,7 @@
     ) -> errors.Nothing:
         """Queues an opening until its deadline, as the targets' own full queues would refuse it."""
         usable = self._selector.usable(
-            self._ready_by_service[service], selection.Query(service=service, now_s=now_s)
+            self._table.ready(service), selection.Query(service=service, now_s=now_s)
         )
         elapsed_s = RETRANSMIT_TIMES_S[min(packet.retransmit_count, len(RETRANSMIT_TIMES_S) - 1)]
         queued = backlog.QueuedOpening(
@@ -422,14 +373,13 @@
         Args:
             now_s: Current time.
         """
-        self._uncount_unanswered(now_s)
+        self._accounting.uncount_unanswered(now_s)
         released = []
         if not self._view.is_fresh(now_s):
             return released
-        if self._revision != self._view.revision:
-            self._refresh(now_s)
+        self._table.refresh(now_s)
         for service, queue in self._backlogs.items():
-            if queue and service not in self._ready_by_service:
+            if queue and not self._table.ready(service):
                 self._reject(queue.clear(), REFUSED_NO_TARGET)
             while queue:
                 found = self._place(service, now_s)
@@ -465,11 +415,10 @@
         # A target that answered another opening meanwhile is reachable; this opening was lost.
         is_unresponsive = flow.load.answered_s < flow.opening_sent_s
         if is_unresponsive:
-            self._record_failure(flow, flow.opening_sent_s, now_s)
+            self._accounting.record_failure(flow, flow.opening_sent_s, now_s)
         flow.opening_sent_s = now_s
         flow.opening_count += 1
-        self._sent_openings.append((now_s, flow))
-        flow.count_as_load()
+        self._accounting.record_opening(flow, now_s)
         other = self._place(flow.target.service, now_s, avoid=(flow.load, flow.hedge))
         flow.drop_hedge()
         if not isinstance(other, errors.Nothing):
@@ -484,92 +433,6 @@
             return flow.target
         return DROPPED_COLD
 
-    def _complete_handshake(self, flow: flowstate.Flow, packet: Packet, now_s: float) -> None:
-        """Opens a flow: its first packet after the opening carries the answering target's token."""
-        answered = self._loads.get(packet.token)
-        if answered is None:
-            return
-        if answered is flow.hedge:
-            self.counters.events["hedges_won"] += 1
-        elif flow.hedge is None and flow.opening_count == 1:
-            self._hedger.record_answer(
-                service=answered.target.service,
-                is_own_zone=answered.target.zone == self._own_zone,
-                elapsed_s=now_s - flow.opening_sent_s,
-            )
-        flow.drop_hedge()
-        if answered is not flow.load:
-            flow.move(answered)
-        flow.stage = flowstate.Stage.OPEN
-        flow.count_as_load()
-        flow.acknowledged = packet.acknowledged
-        if packet.has_payload:
-            flow.record_payload(packet.sequence, has_response=True)
-        answered.record_answer(now_s)
-        self._judge.heard_s = now_s
-        if self._observer is not None:
-            self._observer.record_answer(answered.target.token, now_s)
-        self.counters.histograms["handshake"].note(now_s - flow.opening_sent_s)
-        self.counters.events["flows_opened"] += 1
-
-    def _update_load(self, flow: flowstate.Flow, packet: Packet) -> None:
-        """Counts a request as load from its first bytes until the caller acknowledges a response.
-
-        The rest of the response is sent by the target's kernel and occupies none of its slots.
-        """
-        has_response = packet.acknowledged != flow.acknowledged
-        flow.acknowledged = packet.acknowledged
-        if has_response:
-            flow.load.record_bytes(flow.last_packet_s)
-            if flow.is_counted or flow.retransmit_count:
-                self._judge.note_answered(flow.retransmit_count, flow.last_packet_s)
-            flow.retransmit_count = 0
-            if self._observer is not None:
-                self._observe_response(flow, packet)
-        if packet.has_payload:
-            is_repeated = flow.record_payload(packet.sequence, has_response)
-            if is_repeated:
-                self._judge.note_unanswered(flow.load, flow.unanswered_sent_s, flow.last_packet_s)
-            flow.count_as_load()
-        elif has_response:
-            if flow.is_counted and flow.sequence >= 0:
-                self._selector.record_response(
-                    flow.load, packet.route, flow.request_s, flow.last_packet_s
-                )
-            self._finish_request(flow)
-
-    def _observe_response(self, flow: flowstate.Flow, packet: Packet) -> None:
-        now_s = flow.last_packet_s
-        self._observer.record_answer(flow.target.token, now_s)
-        if flow.is_counted and not packet.has_payload:
-            route = (flow.target.service, packet.route)
-            started_s = flow.counted_since_s
-            self._observer.record_duration(flow.target.token, route, started_s, now_s)
-
-    def _finish_request(self, flow: flowstate.Flow) -> None:
-        if flow.is_counted:
-            duration_s = flow.last_packet_s - flow.counted_since_s
-            self._backlogs[flow.target.service].record_duration(duration_s)
-        flow.uncount_as_load()
-
-    def _close(self, flow: flowstate.Flow) -> None:
-        if flow.stage is flowstate.Stage.OPEN:
-            self._finish_request(flow)
-        flow.stage = flowstate.Stage.CLOSED
-        flow.uncount_as_load()
-
-    def _uncount_unanswered(self, now_s: float) -> None:
-        """Stops counting openings as load that got no answer within ``OPENING_LOAD_S``."""
-        while self._sent_openings and now_s - self._sent_openings[0][0] > OPENING_LOAD_S:
-            opening_sent_s, flow = self._sent_openings.popleft()
-            if (
-                flow.stage is flowstate.Stage.OPENING
-                and flow.opening_sent_s == opening_sent_s
-                and flow.is_counted
-            ):
-                self._backlogs[flow.target.service].record_duration(now_s - opening_sent_s)
-                flow.uncount_as_load()
-
     # Hedged openings
 
     @property
