A grant that arrives after a standstill waits for an update like any packet

Cause: openings that waited were sent on by the table from before the standstill. Change: the standstill is noted before the grant is taken.

--- a/tests/test_lean_cold.py
+++ b/tests/test_lean_cold.py
@@ -84,15 +84,18 @@
         self.data.append(data)
 
 
-def test_opening_to_a_cold_target_is_not_sent_after_a_standstill(tmp_path, monkeypatch):
-    site = ColdSite(tmp_path)
-    entry = lean_entry.LeanEntry(
+def make_entry(site):
+    return lean_entry.LeanEntry(
         config=lean_settings.Entry(
             **site.common("127.0.0.21"), packets=("127.0.0.21", 1), ready=("127.0.0.21", 2)
         ),
         codec=packet.Codec(),
         output=Notes(),
     )
+
+
+def test_opening_to_a_cold_target_is_not_sent_after_a_standstill(tmp_path, monkeypatch):
+    entry = make_entry(ColdSite(tmp_path))
     entry._socket = Sent()
     monkeypatch.setattr(lean, "now_s", lambda: 10.0)
     for deadline_s in (None, 10.0, 9.99):
@@ -104,6 +107,21 @@
     assert entry.counters.drops["cold_opening_late"] == 1
 
 
+def test_grant_that_arrives_after_a_standstill_releases_nothing_before_an_update(
+    tmp_path, monkeypatch
+):
+    entry = make_entry(ColdSite(tmp_path))
+    released = []
+    monkeypatch.setattr(
+        entry, "_release", lambda now_s: released.append(entry.view.is_fresh(now_s))
+    )
+    now_s = lean.now_s() + 5.0
+    monkeypatch.setattr(lean, "now_s", lambda: now_s)
+    link = links.Link(owner=entry, peer="c1:1", clock=lean.now_s)
+    entry.frame_received(link, links.Kind.SHARE_GRANT, bytes(12))
+    assert released == [False]
+
+
 def test_frame_of_an_unknown_kind_is_passed_over():
     """Peers of earlier versions know nothing of shares."""
 
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -360,11 +360,11 @@
     def frame_received(self, link: links.Link, kind: links.Kind, payload: bytes) -> None:
         """See ``links.Owner.frame_received``."""
         now_s = lean.now_s()
+        self.view.detect_suspension(now_s)
         if kind is links.Kind.SHARE_GRANT and self._holder is not None:
             self._take_grant(link, payload, now_s)
         if kind is not links.Kind.UPDATE:
             return
-        self.view.detect_suspension(now_s)
         try:
             self.view.apply_update(link.peer, feed.decode(payload, link.peer, now_s), now_s)
         except errors.RuleError as error:
