--- /dev/null
+++ b/soak/net.py
@@ -0,0 +1,167 @@
+"""Which machine reaches which, and the TCP proxy between them."""
+
+import asyncio
+import contextlib
+
+import attrs
+
+from soak import launcher
+
+POLL_S = 0.03
+CHUNK_BYTES = 65536
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Connection:
+    source: str
+    destination: str
+    writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
+    is_silent: bool = False
+
+
+class Net:
+    """Paths between addresses; one way each.
+
+    Attributes:
+        zone_of: Zone of each machine's address.
+    """
+
+    def __init__(self, *, zone_of: dict[str, str]) -> None:
+        """Starts with all paths open."""
+        self.zone_of = zone_of
+        self._cuts: list[tuple[str, str]] = []
+        self._delays: dict[str, float] = {}
+        self._connections: set[_Connection] = set()
+        self._servers: list[asyncio.AbstractServer] = []
+
+    def cut(self, source: str, destination: str) -> tuple[str, str]:
+        """Cuts the paths from an address, a zone or ``*`` to another; returns what heals it."""
+        self._cuts.append((source, destination))
+        return self._cuts[-1]
+
+    def heal(self, cut: tuple[str, str]) -> None:
+        """Joins again."""
+        self._cuts.remove(cut)
+
+    def delay(self, host: str, delay_s: float) -> None:
+        """Delays what an address sends or receives by TCP; 0 ends it."""
+        self._delays[host] = delay_s
+
+    def _matches(self, pattern: str, host: str, other: str) -> bool:
+        if pattern in ("*", host):
+            return True
+        return pattern == self.zone_of.get(host) != self.zone_of.get(other)
+
+    def reaches(self, source: str, destination: str) -> bool:
+        """Whether packets pass from one address to another now."""
+        if source == destination:
+            return True
+        return not any(
+            self._matches(a, source, destination) and self._matches(b, destination, source)
+            for a, b in self._cuts
+        )
+
+    def reset(self, host: str) -> None:
+        """Resets the connections of an address."""
+        for connection in list(self._connections):
+            if host in (connection.source, connection.destination):
+                for writer in connection.writers:
+                    writer.transport.abort()
+
+    def silence(self) -> None:
+        """Silences all open connections for good, without a reset; new ones work."""
+        for connection in self._connections:
+            connection.is_silent = True
+
+    async def proxy(self, host: str, port: int) -> None:
+        """Serves the address that peers know of a machine."""
+
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._carry(host, port, reader, writer)
+
+        self._servers.append(await asyncio.start_server(accept, host, port, backlog=512))
+
+    async def _carry(
+        self, host: str, port: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        source = writer.get_extra_info("peername")[0]
+        link = _Connection(source=source, destination=host, writers=[writer])
+        self._connections.add(link)
+        try:
+            while not self.reaches(source, host) and not reader.at_eof():
+                await asyncio.sleep(POLL_S)
+            onward = await asyncio.open_connection(
+                launcher.behind(host), port, local_addr=(source, 0)
+            )
+            link.writers.append(onward[1])
+            await asyncio.gather(
+                self._pump(link, source, host, reader, onward[1]),
+                self._pump(link, host, source, onward[0], writer),
+            )
+        except OSError:
+            pass
+        finally:
+            self._connections.discard(link)
+            for end in link.writers:
+                end.transport.abort()
+
+    async def _pump(
+        self,
+        link: _Connection,
+        source: str,
+        destination: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while True:
+            data = await reader.read(CHUNK_BYTES)
+            delay_s = max(self._delays.get(source, 0.0), self._delays.get(destination, 0.0))
+            if delay_s:
+                await asyncio.sleep(delay_s)
+            while link.is_silent or not self.reaches(source, destination):
+                if writer.is_closing():
+                    break
+                await asyncio.sleep(POLL_S)
+            if not data:
+                raise ConnectionResetError
+            writer.write(data)
+            await writer.drain()
+
+    def close(self) -> None:
+        """Closes the proxy."""
+        for server in self._servers:
+            server.close()
+        for connection in list(self._connections):
+            for writer in connection.writers:
+                writer.transport.abort()
+
+    async def call(
+        self,
+        source: str,
+        endpoint: tuple[str, int],
+        method: str,
+        path: str,
+        body: bytes = b"",
+        limit_s: float = 1.0,
+    ) -> tuple[int, bytes] | None:
+        """Calls a machine over HTTP; None without a clear answer."""
+        if not self.reaches(source, endpoint[0]):
+            await asyncio.sleep(limit_s)
+            return None
+        writer = None
+        try:
+            async with asyncio.timeout(limit_s):
+                reader, writer = await asyncio.open_connection(*endpoint, local_addr=(source, 0))
+                head = f"{method} {path} HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n"
+                writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+                answer = await reader.read()
+                if not self.reaches(endpoint[0], source):
+                    await asyncio.sleep(limit_s)
+                head, _, body = answer.partition(b"\r\n\r\n")
+                return int(head.split()[1]), body
+        except (OSError, TimeoutError, IndexError, ValueError):
+            return None
+        finally:
+            if writer is not None:
+                with contextlib.suppress(OSError):
+                    writer.transport.abort()
