--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import random
+import signal
 import sys
 import time
 
@@ -88,6 +89,9 @@
 
 def main() -> int:
     """Runs the command; returns 1 if anything was found, or a mutation was not."""
+    # A run that is asked to end ends the processes that it started.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler)
     parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
     parser.add_argument("--seed", type=int, help="one run; otherwise fresh seeds")
     parser.add_argument("--seconds", type=float, default=40.0, help="length of each run")
