Keep an evacuation over the last kill, and end a run of a mutation once it is found

A rule file and an evacuation are acknowledged right before everything is killed, where the control VMs know evacuations. Failures of the soak's own tasks are findings.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,8 +27,14 @@
     """Plays one run and prints what it showed."""
     faults = schedule.draw(seed, seconds) if faults is None else faults
     _print(f"seed {seed}, {seconds:.0f} s, {len(faults)} faults {mutation}")
+    stops_at = mutations.MUTATIONS[mutation].promises if mutation else ()
     result = run.Run(
-        seed=seed, faults=faults, seconds=seconds, mutation=mutation, tell=_print
+        seed=seed,
+        faults=faults,
+        seconds=seconds,
+        mutation=mutation,
+        stops_at=stops_at,
+        tell=_print,
     ).play()
     _print(
         f"seed {seed}: {len(faults)} faults, {sum(result.outcomes.values())} requests, "
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -38,6 +38,7 @@
         self._rng = rng
         self._number = 0
         self._routes = {port: SERVICES[port // 2 % 2] for port in PORTS[:4]}
+        self._evacuated: set[str] = set()
         self.is_quiet = False
 
     @staticmethod
@@ -117,9 +118,13 @@
             version.acknowledged_s = min(version.acknowledged_s, self._now())
             self._judge.counts["rule files acknowledged"] += 1
 
+    async def change(self) -> None:
+        """Changes the rule file; returns right after the acknowledgement."""
+        await self.put(self._next())
+
     async def change_forever(self) -> None:
         """Changes the rule file: alone, two at once, and earlier ones again."""
-        await self.put(self._next())
+        await self.change()
         while True:
             await asyncio.sleep(self._rng.uniform(*CHANGE_S))
             if self.is_quiet:
@@ -152,15 +157,26 @@
             await asyncio.sleep(READ_S)
             await self.read(self._rng.choice(schedule.CONTROLS))
 
-    async def evacuate(self, zone: str, length_s: float) -> None:
-        """Orders an evacuation and later its end, where the control VMs know such orders."""
+    async def evacuate(self, zone: str, length_s: float | None) -> bool:
+        """Orders an evacuation, and its end after a while unless it is to stay.
+
+        Returns:
+            Whether the control VMs know such orders.
+        """
+        if zone in self._evacuated:
+            return True
+        self._evacuated.add(zone)
         status = await self._order("POST", EVACUATION_PATH + zone)
         if status == 404:
             self._judge.counts["evacuations unknown to the product"] += 1
-            return
+            self._evacuated.discard(zone)
+            return False
         order = promises.Order(zone=zone, acknowledged_s=self._now())
         self._judge.evacuations.append(order)
         self._judge.counts["evacuations acknowledged"] += 1
-        await asyncio.sleep(length_s)
-        order.ended_s = self._now()
-        await self._order("DELETE", EVACUATION_PATH + zone)
+        if length_s is not None:
+            await asyncio.sleep(length_s)
+            order.ended_s = self._now()
+            await self._order("DELETE", EVACUATION_PATH + zone)
+            self._evacuated.discard(zone)
+        return True
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -339,3 +339,7 @@
     def too_late(self, what: str, now_s: float) -> None:
         """The start, the reading back or the recovery took longer than its limit."""
         self._break(now_s, "too_late", what)
+
+    def soak_failed(self, detail: str, now_s: float) -> None:
+        """A task of the soak itself has failed."""
+        self._break(now_s, "soak_failed", detail)
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,6 +25,8 @@
 WAIT_LIMIT_S = 180.0
 CALM_S = 2.0
 FINAL_S = 3.0
+# Long enough after all were killed that they are in touch and the bound is over.
+EVACUATED_S = 7.0
 RESTART_S = 0.3
 
 
@@ -65,13 +67,15 @@
         faults: list[schedule.Fault],
         seconds: float,
         mutation: str = "",
+        stops_at: tuple[str, ...] = (),
         tell: Callable[[str], None] = lambda line: None,
     ) -> None:
-        """Prepares a run; starts nothing."""
+        """Prepares a run that ends early at some findings; starts nothing."""
         self._seed = seed
         self._faults = faults
         self._seconds = seconds
         self._mutation = mutation
+        self._stops_at = stops_at
         self._tell = tell
         self._rng = random.Random(f"run/{seed}")
         self._addresses = processes.Addresses()
@@ -405,6 +409,8 @@
     async def _final(self) -> None:
         """Everything is killed right after an acknowledgement; all has to be there again."""
         self._operators.is_quiet = True
+        is_evacuated = await self._operators.evacuate(self._rng.choice("ab"), None)
+        await self._operators.change()
         await self._play_kill_all("all", 0)
         recovery_s, left = processes.BOUNDS["recovery_s"], set(self._vms)
         while left and not await self._is_late("return", recovery_s):
@@ -419,16 +425,38 @@
                 return
             late = [outcome for _, outcome in self._callers.outcomes[before:]]
             is_served = late.count("served") * 4 > len(late)
+        if is_evacuated:
+            await asyncio.sleep(EVACUATED_S)
+
+    async def _play_whole(self) -> None:
+        await self._start()
+        await self._play_all()
+        await self._final()
 
     async def _main(self) -> None:
-        started_s = self._now()
-        self._judge.tell = lambda finding: self._tell(
-            f"  FINDING {finding.at_s - started_s:.1f} s {finding.promise}: {finding.detail}"
+        started_s, is_found = self._now(), asyncio.Event()
+
+        def take(finding: promises.Finding) -> None:
+            at_s = finding.at_s - started_s
+            self._tell(f"  FINDING {at_s:.1f} s {finding.promise}: {finding.detail}")
+            if finding.promise in self._stops_at:
+                is_found.set()
+
+        self._judge.tell = take
+        # A fault of the soak itself must not end unseen.
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _loop, context: self._judge.soak_failed(str(context), self._now())
         )
         try:
-            await self._start()
-            await self._play_all()
-            await self._final()
+            played = asyncio.ensure_future(self._play_whole())
+            found = asyncio.ensure_future(is_found.wait())
+            await asyncio.wait((played, found), return_when=asyncio.FIRST_COMPLETED)
+            for task in (played, found):
+                task.cancel()
+            await played
+        except asyncio.CancelledError:
+            if not is_found.is_set():
+                raise
         finally:
             for job in self._jobs:
                 job.cancel()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -242,5 +242,8 @@
 
 @pytest.mark.skipif(not os.path.exists("/proc/self/schedstat"), reason="needs /proc")
 def test_packets_to_another_service_are_found_in_a_run_of_real_processes():
-    result = run.Run(seed=12, faults=[], seconds=4.0, mutation="wrong_service").play()
-    assert run.fails(result, mutations.MUTATIONS["wrong_service"].promises)
+    names = mutations.MUTATIONS["wrong_service"].promises
+    result = run.Run(
+        seed=12, faults=[], seconds=30.0, mutation="wrong_service", stops_at=names
+    ).play()
+    assert run.fails(result, names)
