--- a/soak/operators.py
+++ b/soak/operators.py
@@ -70,6 +70,9 @@
             else:
                 self._routes[port] = SERVICES[1 - SERVICES.index(self._routes[port])]
         self._number += self._rng.choice((1, 1, 2, 5))
+        cold = {}
+        if processes.COLD_PER_S:
+            cold = {"cold_per_s": processes.COLD_PER_S, "cold_start_s": processes.COLD_START_S}
         body = {
             "version": self._number,
             "routes": [
@@ -83,7 +86,7 @@
                 }
                 for port, service in sorted(self._routes.items())
             ],
-            "services": [{"name": name, "health_path": "/health"} for name in SERVICES],
+            "services": [{"name": name, "health_path": "/health", **cold} for name in SERVICES],
             "limits": {"idle_timeout_ms": 15000},
         }
         self._judge.versions[self._number] = promises.Version(
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -16,6 +16,8 @@
 CALL_PORT, READY_PORT, PACKET_PORT, PEER_PORT = 8166, 8167, 8172, 7720
 ROUTE_HOST = "198.18.0.1"
 HEARTBEAT_S = 0.8
+# What a target bears that has just started; 0 while the product has no limit on cold targets.
+COLD_PER_S, COLD_START_S = 0.0, 5.0
 # Bounds as a deployment would have them.
 BOUNDS = {
     "seed_lag_s": 3,
@@ -34,6 +36,8 @@
     "flow_ms": 2000,
     "flow_lifetime_s": 60,
 }
+if COLD_PER_S:
+    BOUNDS |= {"cold_overage": 1.5, "cold_slack": 1}
 
 
 class Addresses:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -133,6 +133,7 @@
         self.findings: list[Finding] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self._leaving: dict[str, Leaving] = {}
+        self._cold: dict[str, list[float]] = {}
         self._ran: dict[str, str] = {}
         self._not_run: dict[str, str] = {}
         self._floors: dict[str, tuple[int, float]] = {}
@@ -261,6 +262,15 @@
         if self.touch.is_calm((entry, "core", "targets"), sent_s, now_s):
             self._break(now_s, "refused_known", f"{flow} by {entry}: port {port} has its route")
 
+    def cold_opening(self, target: str, per_s: float, sent_s: float, now_s: float) -> None:
+        """A target took an opening while it was cold; the limit holds in touch or not."""
+        taken = self._cold.setdefault(target, [])
+        taken.append(sent_s)
+        limit = per_s * self._bounds["cold_overage"] + self._bounds["cold_slack"]
+        count = sum(earlier_s > now_s - 1.0 for earlier_s in taken)
+        if count > limit:
+            self._break(now_s, "cold_limit", f"{target} took {count} openings in a second")
+
     # Targets
 
     def leaves(self, target: str, control: str, now_s: float) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -382,7 +382,7 @@
             vm.start()
         self._callers.open()
         for slot in range(8):
-            self._targets.start(slot, operators.SERVICES[slot // 4])
+            self._targets.start(slot, operators.SERVICES[slot // 4], is_cold=False)
         for name in schedule.ENTRIES:
             self._spawn(self._fabric.check_forever(name))
         self._spawn(self._watch())
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -48,6 +48,7 @@
         service: str,
         zone: str,
         clock_offset_ms: int,
+        is_cold: bool,
         site: "Targets",
     ) -> None:
         """Prepares a target."""
@@ -57,6 +58,7 @@
         self.zone = zone
         self.state = "ready"
         self.started_s = site.now()
+        self._warm_s = self.started_s + (processes.COLD_START_S if is_cold else 0.0)
         self._site = site
         self._born = int(time.time() * 1000) + clock_offset_ms
         self._sequence = 0
@@ -91,7 +93,7 @@
             "version": "v1",
             "slots": 8,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": max(0, int(1000 * (self._warm_s - self._site.now()))),
             "sequence": self._sequence,
             "born": self._born,
         }
@@ -187,6 +189,8 @@
                 now_s=site.now(),
                 flow=flow.label if flow else str(packet.source),
             )
+            if processes.COLD_PER_S and site.now() < self._warm_s:
+                site.judge.cold_opening(self.identity, processes.COLD_PER_S, sent_s, site.now())
             end = self._ends[packet.source] = _End(
                 seq=site.rng.randrange(1 << 28), ack=packet.seq + 1, first_seq=packet.seq
             )
@@ -263,7 +267,7 @@
         """The soak's clock."""
         return asyncio.get_running_loop().time()
 
-    def start(self, slot: int, service: str, identity: str = "") -> None:
+    def start(self, slot: int, service: str, identity: str = "", is_cold: bool = True) -> None:
         """Starts a target in a slot."""
         offset_ms = self._offsets_ms.setdefault(slot, self.rng.randrange(-2000, 2000))
         host = self.addresses.target(slot)
@@ -275,6 +279,7 @@
             service=service,
             zone=zone,
             clock_offset_ms=offset_ms,
+            is_cold=is_cold,
             site=self,
         )
         target.start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -103,6 +103,18 @@
     assert names(judge) == ["evacuated"]
 
 
+def test_openings_above_the_limit_of_a_cold_target_are_found():
+    judge = promises.Judge(bounds={**processes.BOUNDS, "cold_overage": 1.5, "cold_slack": 1})
+    for now_s in (1.0, 1.3, 4.0, 4.3):
+        judge.cold_opening("t1", 1.0, now_s - 0.1, now_s)
+    judge.cold_opening("t2", 1.0, 4.3, 4.4)
+    # Sent before the second in which it arrived.
+    judge.cold_opening("t1", 1.0, 2.0, 4.4)
+    assert names(judge) == []
+    judge.cold_opening("t1", 1.0, 4.4, 4.5)
+    assert names(judge) == ["cold_limit"]
+
+
 def test_reset_of_an_open_flow_is_excused_by_unplanned_disturbance_only(judge):
     reset = {"flow": "f", "port": 8000, "target": "h", "source": "e1", "entries": ("e1",)}
     judge.touch.hit("e1", 10.0)
