--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -168,9 +168,11 @@
 @_mutation("entry", "evacuated", faults=("evacuate",))
 def forget_evacuation() -> None:
     """Targets of evacuated zones get new flows."""
-    from zinniaspoke import selection
+    from zinniaspoke import subscription
 
-    selection._STEPS.pop("evacuation")
+    subscription.Subscription.evacuated_zones = property(
+        lambda self: frozenset(), lambda self, zones: None
+    )
 
 
 @_mutation("entry", "stop_late", faults=("term",))
