--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import time
@@ -57,6 +58,8 @@
         faults.append(schedule.Fault(at_s=6.0 + 6 * index, kind=kind, place=place, length_s=7.0))
     result = play(seed, MUTATION_SECONDS, faults, name)
     is_found = run.fails(result, mutation.promises)
+    if is_found:
+        shutil.rmtree(result.folder)
     word = "found" if is_found else "NOT FOUND"
     if "evacuations unknown to the product" in result.counts:
         # Nothing to break in a product without evacuations.
