--- a/zinniaspoke/exchange.py
+++ b/zinniaspoke/exchange.py
@@ -71,6 +71,8 @@
             now_s: Current time.
         """
         self._heard = tuple(heard)
+        if not self._in_force and not any(self._given.values()):
+            return
         votes: dict[evidence.Key, list[evidence.Verdict]] = {}
         for name in self._heard:
             for key, verdict in list(self._given.get(name, {}).items()):
