Share evidence only where operators ask for it

Cause: it was on where the contract on health is in force, which earlier deployments have too. Change: the variable ZINNIASPOKE_SHARED_EVIDENCE of a role switches it on; the test of the contract is replaced by one of the variable.

--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -67,7 +67,7 @@
 
     def place(self, service, *rest, **options):
         if _RANDOM.random() < 0.05:
-            service = _RANDOM.choice(list(self._ready_by_service))
+            service = _RANDOM.choice(list(self._table._ready_by_service))
         return original(self, service, *rest, **options)
 
     steering.Steering._place = place
@@ -101,7 +101,8 @@
     """One packet of an open flow in twenty goes to another target."""
 
     def change(self, found):
-        others = [t for t in self._target_by_token.values() if t.identity != found.identity]
+        targets = [load.target for load in self._table.loads.values()]
+        others = [target for target in targets if target.identity != found.identity]
         return _RANDOM.choice(others) if others else found
 
     _on_data(change)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -357,13 +357,14 @@
         settings.load_entry()
 
 
-@pytest.mark.parametrize(("contracts", "expected"), [(["base"], False), (["base", "health"], True)])
-def test_evidence_is_shared_where_the_contract_on_health_is_in_force(
-    tmp_path, monkeypatch, contracts, expected
-):
+@pytest.mark.parametrize(("value", "expected"), [(None, False), ("no", False), ("yes", True)])
+def test_shared_evidence_is_on_where_operators_ask_for_it(tmp_path, monkeypatch, value, expected):
     path = tmp_path / "settings.json"
-    path.write_text(json.dumps({**SETTINGS, "contracts": contracts}))
+    path.write_text(json.dumps(SETTINGS))
     monkeypatch.setenv(settings.VARIABLE, str(path))
+    monkeypatch.delenv(settings.EVIDENCE_VARIABLE, raising=False)
+    if value is not None:
+        monkeypatch.setenv(settings.EVIDENCE_VARIABLE, value)
     assert settings.load_entry().shared_evidence is expected
     assert settings.load_control().shared_evidence is expected
 
