--- a/soak/operators.py
+++ b/soak/operators.py
@@ -56,6 +56,11 @@
         number = self._judge.acknowledged(self._now())
         return self._judge.versions[number].routes.get(port) if number else None
 
+    def evacuated_since(self, since_s: float) -> set[str]:
+        """Returns the zones that may have been evacuated at any time since a moment."""
+        ended = {order.zone for order in self._judge.evacuations if order.ended_s > since_s}
+        return self._evacuated | ended
+
     def _endpoint(self, control: str) -> tuple[str, int]:
         return self._addresses.vm(control), processes.CALL_PORT
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -132,8 +132,9 @@
 
     def _has_target(self, port: int) -> bool:
         service = self._operators.service_of(port)
-        window_s = processes.BOUNDS["contact_window_ms"] / 1000
-        return service is not None and self._targets.has_ready(service, self._now() - window_s)
+        since_s = self._now() - processes.BOUNDS["contact_window_ms"] / 1000
+        avoided = self._operators.evacuated_since(since_s)
+        return service is not None and self._targets.has_ready(service, since_s, avoided)
 
     def _spawn(self, job: Awaitable[None]) -> None:
         task = asyncio.ensure_future(job)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -292,9 +292,12 @@
             for t in self.slots.values()
         )
 
-    def has_ready(self, service: str, since_s: float) -> bool:
-        """Whether a service has had a ready target for long."""
+    def has_ready(self, service: str, since_s: float, avoided: set[str]) -> bool:
+        """Whether a service has had a ready target for long, outside of some zones."""
         return any(
-            t.service == service and t.state == "ready" and t.started_s < since_s
+            t.service == service
+            and t.state == "ready"
+            and t.started_s < since_s
+            and t.zone not in avoided
             for t in self.slots.values()
         )
