--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -590,3 +590,24 @@
     assert sent.identity == "i-1"
     vm.run(0.5)
     assert key not in [packet.flow for packet, _ in vm.core.take_released(vm.now_s)]
+
+
+@pytest.mark.parametrize("after_s", [0.05, 0.2])
+def test_repeated_opening_is_kept_off_a_target_that_leaves(after_s):
+    vm = Vm(target(1), target(2))
+    chosen = vm.packet(flow(1))
+    leaving = target(int(chosen.identity[-1]), state=DRAINING, sequence=5)
+    vm.apply_update(leaving, number=1)
+    vm.now_s += after_s
+    assert vm.packet(flow(1), retransmit_count=1).identity != chosen.identity
+
+
+@pytest.mark.parametrize("after_s", [0.05, 0.2])
+def test_repeated_opening_is_not_sent_to_the_name_of_a_target_that_has_started_again(after_s):
+    """The new incarnation may be cold; it gets openings that are placed on it only."""
+    vm = Vm(target(1))
+    old = vm.packet(flow(1))
+    vm.apply_update(target(1, started_ms=5000), number=1)
+    vm.now_s += after_s
+    found = vm.packet(flow(1), retransmit_count=1)
+    assert (found.identity, found.started_ms) == (old.identity, 5000)
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -275,9 +275,17 @@
         return self._admit(packet, found, rule, now_s)
 
     def _is_kept_off(self, flow: flowstate.Flow) -> bool:
-        """Whether a flow was sent to a target whose zone has been evacuated and is not open yet."""
+        """Whether a flow that is not open yet was sent to a target that gets no new flows now.
+
+        Its zone has been evacuated, it leaves, or it has started again, perhaps under its name.
+        """
+        if flow.stage is not flowstate.Stage.OPENING:
+            return False
+        load = flow.load
         return (
-            flow.stage is flowstate.Stage.OPENING and flow.target.zone in self._view.evacuated_zones
+            load.target.zone in self._view.evacuated_zones
+            or load.target.state is not roster.State.READY
+            or self._table.loads.get(load.target.token) is not load
         )
 
     def rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
