A held opening is forgotten once its flow is open

Cause: a copy of an opening whose first copy went to another entry VM (the routers' hash had changed) was held for the link and stayed held when the caller's packets came on the open flow; only a close or reset cancelled it. An acknowledgement without payload leaves no record of the flow, so the copy was then released to a second target, whose answer changes the token that the caller returns.

Change: every packet of the flow after its opening cancels the held copy, as the backlog does already.

Measured: the new test fails for both kinds of data packets without the change and passes with it; tests/test_admission.py and tests/test_lean_link.py pass.

--- /dev/null
+++ b/tests/test_lean_link.py
@@ -0,0 +1,61 @@
+"""Openings held for a narrow link, in the entry VM's program without a network."""
+
+import packet
+import pytest
+from test_bulk import BULK, WINDOW, fill
+from test_lean_daemons import Notes, Site
+
+from zinniaspoke import admission, lean_settings, steering
+from zinniaspoke.daemons import lean_entry
+
+
+@pytest.fixture
+def entry(tmp_path, monkeypatch):
+    site = Site(tmp_path)
+    made = lean_entry.LeanEntry(
+        config=lean_settings.Entry(
+            **site.common("127.0.0.21"),
+            packets=("127.0.0.21", 1),
+            ready=("127.0.0.21", 2),
+            link_bytes_per_s=200_000.0,
+        ),
+        codec=packet.Codec(),
+        output=Notes(),
+    )
+    monkeypatch.setattr(made, "_rule_of", lambda _packet: BULK)
+    return made
+
+
+def datagram(port, flags, *, acknowledged=0, data=b""):
+    head = bytearray(packet.HEADER_BYTES)
+    head[4:8] = acknowledged.to_bytes(4, "big")
+    head[16:18] = len(data).to_bytes(2, "big")
+    head[18] = flags
+    head[22:26] = bytes((100, 64, 0, 7))
+    head[32:34] = port.to_bytes(2, "big")
+    return bytes(head) + data
+
+
+def hold(entry, port, *, retransmit_count=0):
+    """Has an opening held behind an upload that fills the link."""
+    entry._admission.consider(
+        steering.Packet(flow=b"a", route=b"", kind=steering.Kind.OPENING, token=0), BULK, -0.5
+    )
+    fill(entry._pacer, b"a", WINDOW, BULK, 0.01)
+    entry._handle(datagram(port, packet.SYN, acknowledged=retransmit_count), 0.02)
+    assert entry.counters.events[admission.HELD.reason] == 1
+    assert len(entry._admission) == 1
+
+
+@pytest.mark.parametrize("flags", [packet.ACK, packet.FIN, packet.RST])
+@pytest.mark.parametrize("data", [b"", b"body"])
+def test_held_copy_of_an_opening_is_forgotten_once_its_flow_is_open(entry, flags, data):
+    """Failure: routers change their hash, the first copy went elsewhere and was answered.
+
+    Released, the copy would open the flow at a second target as well.
+    """
+    hold(entry, 40001, retransmit_count=1)
+    entry._handle(datagram(40002, packet.ACK, acknowledged=9), 0.03)
+    assert len(entry._admission) == 1
+    entry._handle(datagram(40001, flags, acknowledged=9, data=data), 0.04)
+    assert len(entry._admission) == 0
--- a/zinniaspoke/admission.py
+++ b/zinniaspoke/admission.py
@@ -169,7 +169,7 @@
         return held.packet
 
     def cancel(self, flow: bytes) -> None:
-        """Forgets a held opening whose caller has closed or reset the flow.
+        """Forgets a held opening: its flow is open already, or its caller has closed or reset it.
 
         Args:
             flow: The flow's key.
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -254,8 +254,8 @@
 
     def _is_admitted(self, packet: steering.Packet, rule: rules.Rule, now_s: float) -> bool:
         if packet.kind is not steering.Kind.OPENING:
-            if packet.kind is not steering.Kind.DATA:
-                self._admission.cancel(packet.flow)
+            # Ended, or open by a copy that another VM has forwarded.
+            self._admission.cancel(packet.flow)
             return True
         reason = self._admission.consider(packet, rule, now_s)
         if reason is not None:
