A held opening is refused late only if all its copies came to this VM

Cause: an opening whose first copy was held here was refused at the end of its time if its work could no longer end by its deadline. When the routers' hash changes meanwhile, a later copy goes to another entry VM and opens the flow there; the refusal is then a reset of an open flow.

Change: the copies that came are remembered. Unless all three came here, the opening is forwarded at the end of its time, like a copy whose first went elsewhere.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -401,3 +401,26 @@
     assert f"{pacer.bulk_bytes} bytes and 1 openings of bulk wait" in text
     assert admitted.take_summary(11.9) is None
     assert "0 bytes of bulk and 0 others sent in 1.0 s" in admitted.take_summary(12.0)
+
+
+@pytest.mark.parametrize("copies", [(), (1,), (2,), (1, 1), (1, 9), (1, 2)])
+def test_held_opening_is_refused_late_only_if_no_copy_can_have_gone_elsewhere(copies):
+    """Failure: routers change their hash while an opening is held.
+
+    The copy that is missing here may have opened the flow through another entry VM.
+    """
+    admitted, pacer, _ = make_admission()
+    admitted.consider(opening(b"a"), BULK, 0.0)
+    fill(pacer, b"a", WINDOW, BULK, 0.01)
+    last = opening(b"b")
+    assert admitted.consider(last, BULK, 0.02) is admission.HELD
+    for count in copies:
+        last = opening(b"b", count)
+        now_s = 0.02 + steering.RETRANSMIT_TIMES_S[min(count, 2)]
+        assert admitted.consider(last, BULK, now_s) is admission.HELD
+    # Uploads on this link turn out to be far larger than known when it was held.
+    learn_size(pacer, 10_000_000)
+    limit_s = 0.02 + steering.CONNECT_TIMEOUT_S - admission.HANDSHAKE_S
+    fill(pacer, b"a", WINDOW, BULK, limit_s)
+    expected = ([], [last]) if copies == (1, 2) else ([last], [])
+    assert admitted.take_released(limit_s) == expected
--- a/zinniaspoke/admission.py
+++ b/zinniaspoke/admission.py
@@ -16,6 +16,8 @@
 HELD_LIMIT = 200
 # At most one line a second on a link that bulk waits for.
 SUMMARY_INTERVAL_S = 1.0
+# What callers send of an opening.
+_ALL_COPIES = range(len(steering.RETRANSMIT_TIMES_S))
 
 # Not final: the opening is held and forwarded later.
 HELD = errors.Nothing(reason="held_for_link")
@@ -31,14 +33,19 @@
         flow: What is known of its flow.
         held_s: When its first copy came.
         until_s: When it has to go on or be refused.
-        is_refusable: Whether no earlier copy can have reached a target.
+        copies: Which copies have come, by how often they had been sent before.
     """
 
     packet: steering.Packet
     flow: bulk.BulkFlow
     held_s: float
     until_s: float
-    is_refusable: bool
+    copies: set[int]
+
+    @property
+    def is_refusable(self) -> bool:
+        """Whether no copy can have reached a target by another VM: all have come here."""
+        return self.copies.issuperset(_ALL_COPIES)
 
 
 class Admission:
@@ -81,6 +88,8 @@
         held = self._held.get(packet.flow)
         if held is not None:
             held.packet = packet
+            if packet.retransmit_count in _ALL_COPIES:
+                held.copies.add(packet.retransmit_count)
             return HELD
         times_s = steering.RETRANSMIT_TIMES_S
         started_s = now_s - times_s[min(packet.retransmit_count, len(times_s) - 1)]
@@ -100,7 +109,11 @@
             return None
         until_s = started_s + steering.CONNECT_TIMEOUT_S - HANDSHAKE_S
         self._held[packet.flow] = _Held(
-            packet=packet, flow=flow, held_s=now_s, until_s=until_s, is_refusable=is_refusable
+            packet=packet,
+            flow=flow,
+            held_s=now_s,
+            until_s=until_s,
+            copies={packet.retransmit_count},
         )
         self._counts.events["bulk_openings_held"] += 1
         return HELD
