A place is not given to a caller that gave up between two ticks

Cause: openings past their time left the backlog only at a tick, every half second. Since openings leave by urgency, an urgent one past its time took a place ahead of less urgent ones whose callers still waited.

Change: openings past their deadline are removed before places are given.

Measured: the new test fails without the change and passes with it; tests/test_backlog.py, test_steering.py and test_coldshares.py pass.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -344,3 +344,26 @@
     assert set(rest) == inside
     assert len(set(left) | set(rest)) == len(left) + len(rest)
     assert not queue
+
+
+URGENT_AND_OTHERS = (
+    b"10.9.0.1:443 tcp ledger urgency=0 wait_s=0.3 # t: t\n10.9.0.2:80 tcp ledger # t: u"
+)
+
+
+def test_place_is_not_given_to_a_caller_that_gave_up_between_two_ticks():
+    """Load: an urgent opening is past its time, and a less urgent one waits behind it."""
+    target = test_steering.target(1, slot_count=SLOT_COUNT)
+    vm = test_steering.Vm(target, rules=URGENT_AND_OTHERS)
+    for number in range(IN_FLIGHT_LIMIT):
+        vm.open(flow(number))
+    vm.core.tick(vm.now_s)
+    assert vm.packet(flow(100)) is steering.WAITING
+    other_route = bytes((10, 9, 0, 2)) + (80).to_bytes(2, "big")
+    assert vm.packet(flow(101), route=other_route) is steering.WAITING
+    vm.now_s += 0.31
+    vm.core.tick(vm.now_s)
+    vm.finish(flow(0), target)
+    assert [p.flow for p, _ in vm.core.take_released(vm.now_s)] == [flow(101)]
+    ((packet, reason),) = vm.core.take_rejected()
+    assert (packet.flow, reason) == (flow(100), steering.DROPPED_WAITED_TOO_LONG)
--- a/zinniaspoke/backlog.py
+++ b/zinniaspoke/backlog.py
@@ -174,16 +174,19 @@
             for queued in self._remove_first(level, len(self._queues[level]))
         ]
 
-    def remove_expired(self, now_s: float) -> list[QueuedOpening]:
+    def remove_expired(
+        self, now_s: float, margin_s: float = HANDSHAKE_MARGIN_S
+    ) -> list[QueuedOpening]:
         """Removes openings whose deadline leaves no time for the handshake.
 
         Args:
             now_s: Current time.
+            margin_s: Time for the handshake.
 
         Returns:
             The removed openings.
         """
-        limit_s = now_s + HANDSHAKE_MARGIN_S
+        limit_s = now_s + margin_s
         return [
             queued
             for level, queue in list(self._queues.items())
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -379,8 +379,11 @@
             return released
         self._table.refresh(now_s)
         for service, queue in self._backlogs.items():
-            if queue and not self._table.ready(service):
+            if not queue:
+                continue
+            if not self._table.ready(service):
                 self._reject(queue.clear(), REFUSED_NO_TARGET)
+            self._reject(queue.remove_expired(now_s, margin_s=0.0), DROPPED_WAITED_TOO_LONG)
             while queue:
                 found = self._place(service, now_s)
                 if isinstance(found, errors.Nothing):
