Held openings are looked at every 5 ms on an idle link, not at every packet

Cause: while nothing of bulk waited but openings were held (flows ahead were between two windows), each wake-up put all held openings in order: 1.5 ms with 200 of them. When no packet came, the next look was the tick, up to 0.1 s later, on an idle link.

Change: a look at most every 5 ms then, and a timer for it. The mean size of a rule's flows is kept instead of computed for each opening.

The new tests fail without the change (100 orders for 100 calls; no timer) and pass with it. tests/test_admission.py, test_bulk.py, test_lean_link.py and test_lean_cold.py pass; in test_lean_daemons.py one test of zone orders answered 503 in this run.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -424,3 +424,36 @@
     fill(pacer, b"a", WINDOW, BULK, limit_s)
     expected = ([], [last]) if copies == (1, 2) else ([last], [])
     assert admitted.take_released(limit_s) == expected
+
+
+def test_held_openings_are_not_put_in_order_for_every_packet(monkeypatch):
+    """Load: 200 openings are held while short requests come on a link that is idle just now."""
+    admitted, pacer, _ = make_admission()
+    admitted.consider(opening(b"a"), BULK, -0.5)
+    fill(pacer, b"a", WINDOW, BULK, 0.01)
+    for number in range(admission.HELD_LIMIT):
+        admitted.consider(opening(b"%d" % number, 1), BULK, 0.02)
+    drain(pacer, 0.02)
+    now_s = pacer.bulk_flows.get(b"a").active_s
+    looks = []
+    order = pacer.bulk_flows.order
+    monkeypatch.setattr(pacer, "bulk_flows", Counted(pacer.bulk_flows, looks, order))
+    for number in range(100):
+        assert admitted.take_released(now_s + 0.0002 * number) == ([], [])
+    assert 1 <= len(looks) <= 1 + 0.02 / admission.IDLE_LOOK_INTERVAL_S
+
+
+class Counted:
+    """Passes everything on and notes when the order of flows is made."""
+
+    def __init__(self, flows, looks, order):
+        self._flows = flows
+        self._looks = looks
+        self._order = order
+
+    def __getattr__(self, name):
+        return getattr(self._flows, name)
+
+    def order(self, *arguments):
+        self._looks.append(arguments)
+        return self._order(*arguments)
--- a/tests/test_lean_link.py
+++ b/tests/test_lean_link.py
@@ -1,12 +1,14 @@
 """Openings held for a narrow link, in the entry VM's program without a network."""
 
+import asyncio
+
 import packet
 import pytest
 from test_bulk import BULK, WINDOW, fill
 from test_lean_daemons import Notes, Site
 
 from zinniaspoke import admission, lean_settings, steering
-from zinniaspoke.daemons import lean_entry
+from zinniaspoke.daemons import lean, lean_entry
 
 
 @pytest.fixture
@@ -59,3 +61,22 @@
     assert len(entry._admission) == 1
     entry._handle(datagram(40001, flags, acknowledged=9, data=data), 0.04)
     assert len(entry._admission) == 0
+
+
+def test_held_openings_are_looked_at_while_nothing_waits_for_the_link(entry):
+    """No packet may come for a while, and the next tick is far."""
+
+    async def play():
+        now_s = lean.now_s()
+        hold(entry, 40001)
+        while entry._pacer:
+            entry._pacer.take_due(now_s)
+        entry._schedule_pacer(now_s)
+        assert entry._pacer_timer is not None
+        entry._pacer_timer.cancel()
+        entry._pacer_timer = None
+        entry._admission.cancel(datagram(40001, 0)[22:34])
+        entry._schedule_pacer(now_s)
+        assert entry._pacer_timer is None
+
+    asyncio.run(play())
--- a/zinniaspoke/admission.py
+++ b/zinniaspoke/admission.py
@@ -12,6 +12,8 @@
 HANDSHAKE_S = 0.2
 # How often held openings are looked at while the link has bulk to carry.
 LOOK_INTERVAL_S = 0.02
+# The same while nothing of bulk waits; a look at all that may be held takes a millisecond.
+IDLE_LOOK_INTERVAL_S = 0.005
 # Their first windows alone take a link of 2 Mbit/s 16 s; more cannot be in time.
 HELD_LIMIT = 200
 # At most one line a second on a link that bulk waits for.
@@ -155,8 +157,8 @@
         """
         released: list[steering.Packet] = []
         refused: list[steering.Packet] = []
-        is_busy = self._pacer.bulk_bytes > 0
-        if not self._held or (is_busy and now_s - self._looked_s < LOOK_INTERVAL_S):
+        interval_s = LOOK_INTERVAL_S if self._pacer.bulk_bytes else IDLE_LOOK_INTERVAL_S
+        if not self._held or now_s - self._looked_s < interval_s:
             return released, refused
         self._looked_s = now_s
         for key in [key for key, held in self._held.items() if held.until_s <= now_s]:
--- a/zinniaspoke/bulk.py
+++ b/zinniaspoke/bulk.py
@@ -76,6 +76,8 @@
     def __init__(self) -> None:
         """Starts without a sample."""
         self._sizes = collections.deque[int](maxlen=SAMPLE_COUNT)
+        # Kept, as it is asked for with each opening that is held.
+        self._mean_bytes = 0.0
 
     def record(self, size_bytes: int) -> None:
         """Records a finished flow.
@@ -84,6 +86,7 @@
             size_bytes: What the link carried of it.
         """
         self._sizes.append(size_bytes)
+        self._mean_bytes = sum(self._sizes) / len(self._sizes)
 
     def remaining_bytes(self, carried_bytes: int) -> float:
         """Estimates what a flow has left: the mean of what larger flows had left at this point.
@@ -94,6 +97,8 @@
         Returns:
             The estimate; 0 where no larger flow is known.
         """
+        if not carried_bytes:
+            return self._mean_bytes
         rests = [size - carried_bytes for size in self._sizes if size > carried_bytes]
         return sum(rests) / len(rests) if rests else 0.0
 
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -391,8 +391,10 @@
             self.steering.record_link_busy(now_s)
             if self._shared is not None and self._pacer.delay_s > observer.LINK_DELAY_LIMIT_S:
                 self._shared.observer.record_interruption(now_s)
-        if self._pacer and self._pacer_timer is None:
+        if (self._pacer or self._admission) and self._pacer_timer is None:
             delay_s = max(0.0, self._pacer.next_send_s - now_s)
+            if not self._pacer:
+                delay_s = max(delay_s, admission.IDLE_LOOK_INTERVAL_S)
             self._pacer_timer = asyncio.get_running_loop().call_later(delay_s, self._send_due)
 
     def _send_due(self) -> None:
