Openings held for the link wait for an update after a standstill

Cause: admission decided before anything asked whether this VM had stood still. An opening that waited in the socket meanwhile could be refused for want of room, though its later copies may have opened the flow through another VM. The link's timer did not look for a standstill, so that it could place held and queued openings by an outdated view before the next tick. A held opening was forwarded or refused however old it was.

Change: admission neither refuses nor releases until the view is fresh; the link's timer detects a standstill; a held opening is dropped once its caller's attempt has timed out.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -377,6 +377,19 @@
     assert admitted.take_released(5.0) == ([], [])
 
 
+def test_opening_whose_caller_timed_out_is_neither_forwarded_nor_refused():
+    """Failure: this VM stood still while an opening was held."""
+    admitted, pacer, counts = make_admission()
+    admitted.consider(opening(b"a"), BULK, 0.0)
+    fill(pacer, b"a", WINDOW, BULK, 0.01)
+    admitted.consider(opening(b"b"), BULK, 0.02)
+    drain(pacer, 0.02)
+    assert admitted.take_released(0.02 + steering.CONNECT_TIMEOUT_S) == ([], [])
+    assert not admitted
+    assert b"b" not in pacer.bulk_flows
+    assert counts.drops[steering.DROPPED_WAITED_TOO_LONG.reason] == 1
+
+
 def test_number_of_held_openings_is_bounded():
     """Load: all callers of a site come to one entry VM."""
     admitted, pacer, _ = make_admission()
--- a/tests/test_lean_link.py
+++ b/tests/test_lean_link.py
@@ -5,6 +5,7 @@
 import packet
 import pytest
 from test_bulk import BULK, WINDOW, fill
+from test_lean_cold import Sent
 from test_lean_daemons import Notes, Site
 
 from zinniaspoke import admission, lean_settings, steering
@@ -80,3 +81,50 @@
         assert entry._pacer_timer is None
 
     asyncio.run(play())
+
+
+@pytest.fixture
+def clock(entry, monkeypatch):
+    """The program's time; the VM stands still when it leaps."""
+    now = [100.0]
+    monkeypatch.setattr(lean, "now_s", lambda: now[0])
+    entry._socket = Sent()
+    entry.view.tick(100.0)
+    return now
+
+
+def test_held_openings_wait_for_an_update_after_a_standstill(entry, clock, monkeypatch):
+    """Failure: this VM froze with an opening held; the timer of the link is the first to run."""
+    steered = []
+    monkeypatch.setattr(entry, "_steer", lambda packet, _rule, _now_s: steered.append(packet))
+
+    async def play():
+        entry._admission.consider(
+            steering.Packet(flow=b"a", route=b"", kind=steering.Kind.OPENING, token=0), BULK, 99.9
+        )
+        fill(entry._pacer, b"a", WINDOW, BULK, 100.0)
+        entry._handle(datagram(40001, packet.SYN), 100.0)
+        assert len(entry._admission) == 1
+        clock[0] = 101.25
+        entry._send_due()
+        assert not entry.view.is_fresh(101.25)
+        assert steered == []
+
+    asyncio.run(play())
+
+
+def test_opening_that_came_during_a_standstill_is_not_refused_for_the_link(
+    entry, clock, monkeypatch
+):
+    """Failure: its later copies may have opened the flow through another VM meanwhile."""
+    refused = []
+    monkeypatch.setattr(entry._codec, "reset", lambda made: refused.append(made) or ("h", b""))
+    monkeypatch.setattr(entry._admission, "consider", lambda *_arguments: admission.REFUSED_NO_ROOM)
+    monkeypatch.setattr(entry, "_submit", lambda *_arguments: None)
+    entry._handle(datagram(40001, packet.SYN), 100.0)
+    assert len(refused) == 1
+    clock[0] = 101.0
+    entry.view.detect_suspension(101.0)
+    assert not entry.view.is_fresh(101.0)
+    entry._handle(datagram(40002, packet.SYN), 101.0)
+    assert len(refused) == 1
--- a/zinniaspoke/admission.py
+++ b/zinniaspoke/admission.py
@@ -163,7 +163,11 @@
         self._looked_s = now_s
         for key in [key for key, held in self._held.items() if held.until_s <= now_s]:
             held = self._held[key]
-            if not held.is_refusable or self._can_make_deadline(held.flow, now_s):
+            if now_s - held.flow.started_s >= steering.CONNECT_TIMEOUT_S:
+                # Its caller has timed out: this VM stood still or waited for an update.
+                del self._held[key]
+                self._counts.drops[steering.DROPPED_WAITED_TOO_LONG.reason] += 1
+            elif not held.is_refusable or self._can_make_deadline(held.flow, now_s):
                 released.append(self._release(key, now_s))
                 self._counts.events["bulk_openings_released_late"] += 1
             else:
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -257,6 +257,9 @@
             # Ended, or open by a copy that another VM has forwarded.
             self._admission.cancel(packet.flow)
             return True
+        if not self.view.is_fresh(now_s):
+            # Left to steering, which refuses nothing then.
+            return True
         reason = self._admission.consider(packet, rule, now_s)
         if reason is not None:
             self._turn_away(packet, reason, now_s)
@@ -278,7 +281,7 @@
 
     def _release(self, now_s: float) -> None:
         """Sends on openings that waited for room or a place, and gives up those in vain."""
-        if self._admission:
+        if self._admission and self.view.is_fresh(now_s):
             admitted, refused = self._admission.take_released(now_s)
             for packet in admitted:
                 self._steer(packet, self._rule_of(packet), now_s)
@@ -400,6 +403,7 @@
     def _send_due(self) -> None:
         self._pacer_timer = None
         now_s = lean.now_s()
+        self.view.detect_suspension(now_s)
         for datagram in self._pacer.take_due(now_s):
             self._send(datagram)
         if self._admission:
