No second try at a target that has begun to leave

Cause: hedged openings chose among the targets known at the last packet or tick; a target that drained or ended since then could still get one.

Change: the tables are renewed first, as before every other choice.

Measured: the new test fails for a draining and an ended target without the change; tests/test_hedging.py passes with it.

--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -152,6 +152,16 @@
     assert vm.core._hedger.budget.is_enough
 
 
+@pytest.mark.parametrize("state", [test_steering.DRAINING, test_steering.ENDED])
+def test_no_hedge_to_a_target_that_leaves_before_the_second_try(state):
+    vm = Vm(target(1), target(2))
+    vm.learn()
+    first = vm.packet(flow(1), route=READ)
+    number = 2 if first.identity == "i-1" else 1
+    vm.apply_update(target(number, state=state, sequence=9), number=1)
+    assert vm.hedges_after(hedging.DELAY_MAX_S) == []
+
+
 def test_overload_of_dark_targets_adds_no_more_than_the_limit():
     """All targets stop to answer at 200 openings a second: the worst second for a hedge."""
     share = 0.05
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -451,6 +451,7 @@
         """
         if not self._view.is_fresh(now_s):
             self._hedger.discard_all()
+        self._table.refresh(now_s)
         hedges = []
         for due in self._hedger.take_due(now_s):
             flow = self._flows.get(due.flow)
