A busy link is told of without held openings, and a grant schedules the link

Cause: the line on how the link is shared was written only while openings were held, not while packets of bulk alone waited, as the program took an admission with nothing held for none. Openings released by a grant of cold shares were queued for the link without a timer: they waited for the next packet or tick.

Change: the program asks whether there is an admission at all, and schedules the link after a grant.

--- a/tests/test_lean_link.py
+++ b/tests/test_lean_link.py
@@ -8,7 +8,8 @@
 from test_lean_cold import Sent
 from test_lean_daemons import Notes, Site
 
-from zinniaspoke import admission, lean_settings, steering
+from zinniaspoke import admission, events, lean_settings, steering
+from zinniaspoke.adapters import links
 from zinniaspoke.daemons import lean, lean_entry
 
 
@@ -128,3 +129,32 @@
     assert not entry.view.is_fresh(101.0)
     entry._handle(datagram(40002, packet.SYN), 101.0)
     assert len(refused) == 1
+
+
+def test_link_that_bulk_waits_for_is_told_of_while_no_opening_is_held(entry, clock):
+    fill(entry._pacer, b"a", WINDOW, BULK, 100.0)
+    assert len(entry._admission) == 0
+    entry._tell()
+    told = [detail for event, _, detail in entry._output.written if event is events.LINK_SHARED]
+    assert len(told) == 1
+    assert "0 openings of bulk wait" in told[0]
+
+
+def test_openings_that_a_grant_releases_have_the_link_scheduled(entry, clock, monkeypatch):
+    """Otherwise they would wait for the next tick, which may be past their time in the queue."""
+    monkeypatch.setattr(entry, "_release", lambda now_s: fill(entry._pacer, b"a", 4, BULK, now_s))
+    monkeypatch.setattr(entry, "_holder", Grants())
+
+    async def play():
+        link = links.Link(owner=entry, peer="c1:1", clock=lean.now_s)
+        entry.frame_received(link, links.Kind.SHARE_GRANT, bytes(12))
+        assert entry._pacer_timer is not None
+
+    asyncio.run(play())
+
+
+class Grants:
+    """Stands for the holder of shares."""
+
+    def take_grant(self, payload, now_s):
+        pass
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -480,6 +480,7 @@
         except errors.DatagramError as error:
             self._output.write(events.DATAGRAM_REFUSED, error.step, link.peer, error.reason)
         self._release(now_s)
+        self._schedule_pacer(now_s)
 
     def _ask_for_shares(self, now_s: float) -> None:
         """Asks all control VMs that this VM follows; only the leader answers."""
@@ -549,8 +550,9 @@
         self._tell_link()
 
     def _tell_link(self) -> None:
-        summary = self._admission and self._admission.take_summary(lean.now_s())
-        if summary:
+        has_link = self._admission is not None
+        summary = self._admission.take_summary(lean.now_s()) if has_link else None
+        if summary is not None:
             self._output.write(events.LINK_SHARED, "pace", self.config.name, summary)
         drops = sum(self.counters.drops[reason] for reason in pacing.DROP_REASONS)
         if drops > self._link_drops:
