--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -414,3 +414,19 @@
 
 def test_platform_is_no_package():
     assert not (ROOT / "platform" / "__init__.py").exists()
+
+
+@pytest.mark.parametrize(
+    ("times", "aim_s", "deadline_s"),
+    [
+        ({"target_latency_ms": 200, "timeout_ms": 2**31 - 1}, 0.2, 0.0),
+        ({"target_latency_ms": 10**9, "timeout_ms": 3000}, 0.0, 0.0),
+        ({"target_latency_ms": 5e-324, "timeout_ms": 3000}, 0.0, 0.0),
+        ({"target_latency_ms": 999_999_000, "timeout_ms": 999_999_900}, 999_999.0, 0.0),
+    ],
+)
+def test_times_beyond_what_rules_hold_are_taken_as_not_given(times, aim_s, deadline_s):
+    """The manifest is valid, so it must not be refused for its hints."""
+    file = manifest.compile_rules(document(route(route_type="upload", **times)))
+    (rule,) = rules.parse(file.number, file.content).rules.values()
+    assert (rule.aim_s, rule.deadline_s) == (aim_s, deadline_s)
--- a/zinniaspoke/rules.py
+++ b/zinniaspoke/rules.py
@@ -13,6 +13,8 @@
 SERVICE_KEYWORD = "service"
 # The least urgent level is 9; rules without the option are in the middle of what deployments use.
 DEFAULT_URGENCY = 2
+# Times in rules are shorter than this.
+SECONDS_LIMIT = 1e6
 
 _OPTIONS: dict[str, Callable[[str], object]] = {}
 _SERVICE_OPTIONS: dict[str, Callable[[str], object]] = {}
@@ -119,7 +121,7 @@
         value = float(text)
     except ValueError:
         value = -1.0
-    if not 0 < value < 1e6:
+    if not 0 < value < SECONDS_LIMIT:
         raise ValueError(f"{name} is a number of seconds above 0 and below 1000000, not {text!r}")
     return value
 
