--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -283,3 +283,16 @@
     for _ in range(bulk.SAMPLE_COUNT):
         sizes.record(10)
     assert sizes.remaining_bytes(0) == 10
+
+
+def test_queue_keeps_its_bound_when_large_packets_push_out_small_ones():
+    """Load: uploads fill a queue that acknowledgements of a bulk flow had filled."""
+    pacer = make_pacer()
+    small = pacing.Datagram(data=b"", endpoint=ENDPOINT, flow=b"acks", rule=BULK)
+    fill(pacer, b"first", 1, None)
+    for _ in range(pacing.QUEUE_LIMIT_BYTES // small.wire_bytes):
+        pacer.submit(pacing.Datagram(data=b"", endpoint=ENDPOINT, flow=b"acks", rule=BULK), 0.0)
+    for number in range(1000):
+        pacer.submit(datagram(b"short%d" % number, 0, SHORT), 0.0)
+        assert pacer.queued_bytes <= pacing.QUEUE_LIMIT_BYTES
+    assert sum(made.flow.startswith(b"short") for made in drain(pacer)) > 0
--- a/zinniaspoke/pacing.py
+++ b/zinniaspoke/pacing.py
@@ -262,7 +262,7 @@
             self.queued_bytes += datagram.wire_bytes
         else:
             self._enqueue(datagram)
-        if self.queued_bytes > QUEUE_LIMIT_BYTES:
+        while self.queued_bytes > QUEUE_LIMIT_BYTES:
             self._drop_least_urgent()
         return False
 
