The last acknowledgement of an upload begins no new flow

Cause: the acknowledgement that follows the end of an upload made a new record, which counted for 50 ms as another upload of the rule's usual size in the estimate that openings are refused by.

Change: an acknowledgement without payload on a flow without a record makes none.

Measured: both cases of the new test fail without the change and pass with it; tests/test_bulk.py, test_admission.py and test_lean_link.py pass.

--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -296,3 +296,17 @@
         pacer.submit(datagram(b"short%d" % number, 0, SHORT), 0.0)
         assert pacer.queued_bytes <= pacing.QUEUE_LIMIT_BYTES
     assert sum(made.flow.startswith(b"short") for made in drain(pacer)) > 0
+
+
+@pytest.mark.parametrize("is_waiting", [False, True])
+def test_last_acknowledgement_does_not_begin_a_flow_that_has_ended(is_waiting):
+    """It would count as another upload of the usual size, and openings be refused for it."""
+    pacer = make_pacer()
+    fill(pacer, b"a", 4, BULK)
+    drain(pacer)
+    pacer.submit(datagram(b"a", None, BULK, size=42, ends_flow=True), 1.0)
+    assert b"a" not in pacer.bulk_flows
+    if is_waiting:
+        fill(pacer, b"b", 4, BULK, 1.006)
+    pacer.submit(datagram(b"a", None, BULK, size=42), 1.006)
+    assert [flow.key for flow in pacer.bulk_flows.active(1.01)] == [b"b"] * is_waiting
--- a/zinniaspoke/bulk.py
+++ b/zinniaspoke/bulk.py
@@ -181,7 +181,8 @@
         """Notes that a packet of a flow came, after its opening.
 
         A payload after a pause, or anything after the deadline, shows that its caller has begun
-        another request on the same flow.
+        another request on the same flow. An acknowledgement alone begins none: the flow may have
+        ended.
 
         Args:
             key: The flow's key.
@@ -189,6 +190,8 @@
             now_s: Current time.
             has_payload: Whether the packet carries bytes of the caller.
         """
+        if not has_payload and key not in self._flows:
+            return
         flow = self.find(key, rule, now_s)
         is_pause = not flow.waiting_bytes and now_s - flow.active_s > PAUSE_S
         if has_payload and flow.carried_bytes and is_pause:
