--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -377,6 +377,19 @@
     assert admitted.take_released(5.0) == ([], [])
 
 
+def test_opening_whose_caller_timed_out_is_neither_forwarded_nor_refused():
+    """Failure: this VM stood still while an opening was held."""
+    admitted, pacer, counts = make_admission()
+    admitted.consider(opening(b"a"), BULK, 0.0)
+    fill(pacer, b"a", WINDOW, BULK, 0.01)
+    admitted.consider(opening(b"b"), BULK, 0.02)
+    drain(pacer, 0.02)
+    assert admitted.take_released(0.02 + steering.CONNECT_TIMEOUT_S) == ([], [])
+    assert not admitted
+    assert b"b" not in pacer.bulk_flows
+    assert counts.drops[steering.DROPPED_WAITED_TOO_LONG.reason] == 1
+
+
 def test_number_of_held_openings_is_bounded():
     """Load: all callers of a site come to one entry VM."""
     admitted, pacer, _ = make_admission()
@@ -401,3 +414,59 @@
     assert f"{pacer.bulk_bytes} bytes and 1 openings of bulk wait" in text
     assert admitted.take_summary(11.9) is None
     assert "0 bytes of bulk and 0 others sent in 1.0 s" in admitted.take_summary(12.0)
+
+
+@pytest.mark.parametrize("copies", [(), (1,), (2,), (1, 1), (1, 9), (1, 2)])
+def test_held_opening_is_refused_late_only_if_no_copy_can_have_gone_elsewhere(copies):
+    """Failure: routers change their hash while an opening is held.
+
+    The copy that is missing here may have opened the flow through another entry VM.
+    """
+    admitted, pacer, _ = make_admission()
+    admitted.consider(opening(b"a"), BULK, 0.0)
+    fill(pacer, b"a", WINDOW, BULK, 0.01)
+    last = opening(b"b")
+    assert admitted.consider(last, BULK, 0.02) is admission.HELD
+    for count in copies:
+        last = opening(b"b", count)
+        now_s = 0.02 + steering.RETRANSMIT_TIMES_S[min(count, 2)]
+        assert admitted.consider(last, BULK, now_s) is admission.HELD
+    # Uploads on this link turn out to be far larger than known when it was held.
+    learn_size(pacer, 10_000_000)
+    limit_s = 0.02 + steering.CONNECT_TIMEOUT_S - admission.HANDSHAKE_S
+    fill(pacer, b"a", WINDOW, BULK, limit_s)
+    expected = ([], [last]) if copies == (1, 2) else ([last], [])
+    assert admitted.take_released(limit_s) == expected
+
+
+def test_held_openings_are_not_put_in_order_for_every_packet(monkeypatch):
+    """Load: 200 openings are held while short requests come on a link that is idle just now."""
+    admitted, pacer, _ = make_admission()
+    admitted.consider(opening(b"a"), BULK, -0.5)
+    fill(pacer, b"a", WINDOW, BULK, 0.01)
+    for number in range(admission.HELD_LIMIT):
+        admitted.consider(opening(b"%d" % number, 1), BULK, 0.02)
+    drain(pacer, 0.02)
+    now_s = pacer.bulk_flows.get(b"a").active_s
+    looks = []
+    order = pacer.bulk_flows.order
+    monkeypatch.setattr(pacer, "bulk_flows", Counted(pacer.bulk_flows, looks, order))
+    for number in range(100):
+        assert admitted.take_released(now_s + 0.0002 * number) == ([], [])
+    assert 1 <= len(looks) <= 1 + 0.02 / admission.IDLE_LOOK_INTERVAL_S
+
+
+class Counted:
+    """Passes everything on and notes when the order of flows is made."""
+
+    def __init__(self, flows, looks, order):
+        self._flows = flows
+        self._looks = looks
+        self._order = order
+
+    def __getattr__(self, name):
+        return getattr(self._flows, name)
+
+    def order(self, *arguments):
+        self._looks.append(arguments)
+        return self._order(*arguments)
--- a/zinniaspoke/admission.py
+++ b/zinniaspoke/admission.py
@@ -12,10 +12,14 @@
 HANDSHAKE_S = 0.2
 # How often held openings are looked at while the link has bulk to carry.
 LOOK_INTERVAL_S = 0.02
+# The same while nothing of bulk waits; a look at all that may be held takes a millisecond.
+IDLE_LOOK_INTERVAL_S = 0.005
 # Their first windows alone take a link of 2 Mbit/s 16 s; more cannot be in time.
 HELD_LIMIT = 200
 # At most one line a second on a link that bulk waits for.
 SUMMARY_INTERVAL_S = 1.0
+# What callers send of an opening.
+_ALL_COPIES = range(len(steering.RETRANSMIT_TIMES_S))
 
 # Not final: the opening is held and forwarded later.
 HELD = errors.Nothing(reason="held_for_link")
@@ -31,14 +35,19 @@
         flow: What is known of its flow.
         held_s: When its first copy came.
         until_s: When it has to go on or be refused.
-        is_refusable: Whether no earlier copy can have reached a target.
+        copies: Which copies have come, by how often they had been sent before.
     """
 
     packet: steering.Packet
     flow: bulk.BulkFlow
     held_s: float
     until_s: float
-    is_refusable: bool
+    copies: set[int]
+
+    @property
+    def is_refusable(self) -> bool:
+        """Whether no copy can have reached a target by another VM: all have come here."""
+        return self.copies.issuperset(_ALL_COPIES)
 
 
 class Admission:
@@ -81,6 +90,8 @@
         held = self._held.get(packet.flow)
         if held is not None:
             held.packet = packet
+            if packet.retransmit_count in _ALL_COPIES:
+                held.copies.add(packet.retransmit_count)
             return HELD
         times_s = steering.RETRANSMIT_TIMES_S
         started_s = now_s - times_s[min(packet.retransmit_count, len(times_s) - 1)]
@@ -100,7 +111,11 @@
             return None
         until_s = started_s + steering.CONNECT_TIMEOUT_S - HANDSHAKE_S
         self._held[packet.flow] = _Held(
-            packet=packet, flow=flow, held_s=now_s, until_s=until_s, is_refusable=is_refusable
+            packet=packet,
+            flow=flow,
+            held_s=now_s,
+            until_s=until_s,
+            copies={packet.retransmit_count},
         )
         self._counts.events["bulk_openings_held"] += 1
         return HELD
@@ -142,13 +157,17 @@
         """
         released: list[steering.Packet] = []
         refused: list[steering.Packet] = []
-        is_busy = self._pacer.bulk_bytes > 0
-        if not self._held or (is_busy and now_s - self._looked_s < LOOK_INTERVAL_S):
+        interval_s = LOOK_INTERVAL_S if self._pacer.bulk_bytes else IDLE_LOOK_INTERVAL_S
+        if not self._held or now_s - self._looked_s < interval_s:
             return released, refused
         self._looked_s = now_s
         for key in [key for key, held in self._held.items() if held.until_s <= now_s]:
             held = self._held[key]
-            if not held.is_refusable or self._can_make_deadline(held.flow, now_s):
+            if now_s - held.flow.started_s >= steering.CONNECT_TIMEOUT_S:
+                # Its caller has timed out: this VM stood still or waited for an update.
+                del self._held[key]
+                self._counts.drops[steering.DROPPED_WAITED_TOO_LONG.reason] += 1
+            elif not held.is_refusable or self._can_make_deadline(held.flow, now_s):
                 released.append(self._release(key, now_s))
                 self._counts.events["bulk_openings_released_late"] += 1
             else:
@@ -169,7 +188,7 @@
         return held.packet
 
     def cancel(self, flow: bytes) -> None:
-        """Forgets a held opening whose caller has closed or reset the flow.
+        """Forgets a held opening: its flow is open already, or its caller has closed or reset it.
 
         Args:
             flow: The flow's key.
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -254,8 +254,11 @@
 
     def _is_admitted(self, packet: steering.Packet, rule: rules.Rule, now_s: float) -> bool:
         if packet.kind is not steering.Kind.OPENING:
-            if packet.kind is not steering.Kind.DATA:
-                self._admission.cancel(packet.flow)
+            # Ended, or open by a copy that another VM has forwarded.
+            self._admission.cancel(packet.flow)
+            return True
+        if not self.view.is_fresh(now_s):
+            # Left to steering, which refuses nothing then.
             return True
         reason = self._admission.consider(packet, rule, now_s)
         if reason is not None:
@@ -278,7 +281,7 @@
 
     def _release(self, now_s: float) -> None:
         """Sends on openings that waited for room or a place, and gives up those in vain."""
-        if self._admission:
+        if self._admission and self.view.is_fresh(now_s):
             admitted, refused = self._admission.take_released(now_s)
             for packet in admitted:
                 self._steer(packet, self._rule_of(packet), now_s)
@@ -391,13 +394,16 @@
             self.steering.record_link_busy(now_s)
             if self._shared is not None and self._pacer.delay_s > observer.LINK_DELAY_LIMIT_S:
                 self._shared.observer.record_interruption(now_s)
-        if self._pacer and self._pacer_timer is None:
+        if (self._pacer or self._admission) and self._pacer_timer is None:
             delay_s = max(0.0, self._pacer.next_send_s - now_s)
+            if not self._pacer:
+                delay_s = max(delay_s, admission.IDLE_LOOK_INTERVAL_S)
             self._pacer_timer = asyncio.get_running_loop().call_later(delay_s, self._send_due)
 
     def _send_due(self) -> None:
         self._pacer_timer = None
         now_s = lean.now_s()
+        self.view.detect_suspension(now_s)
         for datagram in self._pacer.take_due(now_s):
             self._send(datagram)
         if self._admission:
@@ -474,6 +480,7 @@
         except errors.DatagramError as error:
             self._output.write(events.DATAGRAM_REFUSED, error.step, link.peer, error.reason)
         self._release(now_s)
+        self._schedule_pacer(now_s)
 
     def _ask_for_shares(self, now_s: float) -> None:
         """Asks all control VMs that this VM follows; only the leader answers."""
@@ -543,8 +550,9 @@
         self._tell_link()
 
     def _tell_link(self) -> None:
-        summary = self._admission and self._admission.take_summary(lean.now_s())
-        if summary:
+        has_link = self._admission is not None
+        summary = self._admission.take_summary(lean.now_s()) if has_link else None
+        if summary is not None:
             self._output.write(events.LINK_SHARED, "pace", self.config.name, summary)
         drops = sum(self.counters.drops[reason] for reason in pacing.DROP_REASONS)
         if drops > self._link_drops:
