An announcement with an endless warm-up ends no control VM

Cause: cold_remaining_ms of 1e999 is JSON and was taken as infinity. Since warm-ups are rounded up, encoding the target raised OverflowError, in the announcement's call and again in the program's periodic work, which ends the program; the caller hears 503 and turns to the next control VM. Numbers of 400 digits, addresses with digits of other scripts and deeply nested bodies raised other errors (answered 503).

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,11 +1,11 @@
-"""Compression of rule files in updates."""
+"""Updates: compression of rule files, and targets with odd values."""
 
 import json
 
 import pytest
 from test_rules import many_lines
 
-from zinniaspoke import errors, feed
+from zinniaspoke import errors, feed, roster
 
 # A link of 2 Mbit/s carries four copies of this size in about half a second.
 LARGE_COUNT, LARGE_BYTES = 1900, 32_000
@@ -25,3 +25,27 @@
     body["content"] = compressed
     with pytest.raises(errors.DatagramError):
         feed.decode(json.dumps(body).encode(), "c1:1", 0.0)
+
+
+@pytest.mark.parametrize("left_s", ["Infinity", "-Infinity", "NaN", "1e307", "3.21"])
+def test_any_length_of_a_warm_up_that_a_peer_names_can_be_passed_on(left_s):
+    """One that could not ended each control VM that held the target."""
+    target = roster.Target(
+        identity="i-1",
+        started_ms=1,
+        sequence=1,
+        service="api",
+        address=("10.0.0.1", 80),
+        zone="a",
+        slot_count=2,
+        warm_at_s=7.5,
+    )
+    observation = feed.Observation(target=target, age_s=0.0, is_silent=False)
+    data = feed.encode(feed.Update(observations=(observation,)), 0.0).replace(
+        b"7.5", left_s.encode()
+    )
+    update = feed.decode(data, "c1:1", 10.0)
+    again = feed.decode(feed.encode(update, 10.0), "c2:1", 10.0).observations[0].target
+    assert 10.0 <= again.warm_at_s <= 10.0 + feed.WARM_UP_LIMIT_S
+    if left_s == "3.21":
+        assert again.warm_at_s == pytest.approx(13.21, abs=0.02)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,9 +107,10 @@
     "state": [None, "up", 1],
     "sequence": [None, "4", 1.5, True],
     "born": ["soon", 1.5, None, True],
-    "slots": ["2"],
-    "cold_remaining_ms": ["long"],
+    "slots": ["2", 1 << 64],
+    "cold_remaining_ms": ["long", float("inf"), float("nan"), 10**400],
 }
+ODD_ADDRESSES = ["1.2.3.\u00b2:80", "1.2.3.4:\u00b2", "\uff11.2.3.4:80"]
 
 
 @pytest.mark.parametrize(("field", "value"), [(f, v) for f, vs in WRONG.items() for v in vs])
@@ -118,7 +119,18 @@
         record(**{field: value})
 
 
-@pytest.mark.parametrize("data", [b"", b"\xff", b"[]", b"5", b"{}", b'{"service":'])
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_address_of_digits_that_are_not_ascii_names_no_target(address):
+    with pytest.raises(errors.AnnouncementError, match="address"):
+        record(address=address)
+
+
+DEEP = b"[" * 200_000
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", b"[]", b"5", b"{}", b'{"service":', pytest.param(DEEP, id="deep")]
+)
 def test_announcement_that_is_no_object_names_no_target(data):
     with pytest.raises(errors.AnnouncementError):
         announcement.decode("i-1", data, 0.0)
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -13,6 +13,8 @@
 
 # The fastest level; it compresses rule files to about a sixth.
 COMPRESSION_LEVEL = 1
+# No target takes longer to warm up; a peer may pass on what a target has announced unchecked.
+WARM_UP_LIMIT_S = 86_400.0
 
 
 @attrs.frozen(kw_only=True)
@@ -76,6 +78,10 @@
     )
 
 
+def _warm_up_left(left_s: float) -> float:
+    return min(max(0.0, left_s), WARM_UP_LIMIT_S)
+
+
 def _encode_observation(observation: Observation, now_s: float) -> list[object]:
     target = observation.target
     # Left out where it is the start, so that VMs without this field read almost all rows.
@@ -90,7 +96,7 @@
         target.slot_count,
         int(target.state),
         # Rounded up, so that no VM takes the target for warm too soon.
-        math.ceil(max(0.0, target.warm_at_s - now_s) * 100) / 100,
+        math.ceil(_warm_up_left(target.warm_at_s - now_s) * 100) / 100,
         round(observation.age_s, 2),
         observation.is_silent,
         *order,
@@ -122,7 +128,7 @@
         zone=str(zone),
         slot_count=int(slot_count),
         state=roster.State(state),
-        warm_at_s=now_s + float(warm_up_left_s),
+        warm_at_s=now_s + _warm_up_left(float(warm_up_left_s)),
         order_ms=int(order[0] if order else started_ms),
     )
     return Observation(target=target, age_s=float(age_s), is_silent=bool(is_silent))
