An opening that tries a dark target elsewhere sends no flows away from home

Cause: with shared evidence, an entry VM that is named to try a target under verdict gets that target alone from the step before the choice of a zone. If it stands in another zone, the choice took the own zone for absent and set the share that is sent away to 0.9. Such a try comes at most every second for each such target.

Change: where one candidate is left the choice of a zone learns nothing.

The tests of zone choice, selection and the fleet with shared evidence pass.

--- a/tests/test_zonechoice.py
+++ b/tests/test_zonechoice.py
@@ -265,3 +265,19 @@
         left = choice.choose(loads, selection.Query(service="api", now_s=11.0 + number / 100))
         seen.add(left[0].target.zone)
     assert seen == set(ZONES)
+
+
+def test_opening_that_tries_a_target_elsewhere_says_nothing_of_the_own_zone():
+    """Shared evidence has a VM try a dark target; the step before leaves that one alone."""
+    choice = zonechoice.ZoneChoice(own_zone="a", rng=random.Random(1))
+    loads = [test_selection.make_load(f"i-{zone}{n}", zone) for zone in ZONES for n in range(5)]
+    probed = [load for load in loads if load.target.zone == "b"][:1]
+    assert choice.choose(loads, selection.Query(service="api", now_s=1.0))[0].target.zone == "a"
+    assert choice.choose(probed, selection.Query(service="api", now_s=1.1)) == probed
+    assert choice.share_away("api") == 0.0
+    away = sum(
+        choice.choose(loads, selection.Query(service="api", now_s=1.1 + n / 100))[0].target.zone
+        != "a"
+        for n in range(100)
+    )
+    assert away == 0
--- a/zinniaspoke/zonechoice.py
+++ b/zinniaspoke/zonechoice.py
@@ -144,6 +144,10 @@
             loads: Targets that may be used.
             query: The opening.
         """
+        if len(loads) == 1:
+            # Nothing to choose. An opening that tries a target under verdict comes with that one
+            # alone, wherever it is, and says nothing of the own zone.
+            return loads
         by_zone: dict[str, list[choosing.Load]] = {}
         for load in loads:
             by_zone.setdefault(load.target.zone, []).append(load)
