A copy of an opening is charged by the target's newest record

Cause: a flow keeps the record of its target from when it was placed. A target that became cold meanwhile was taken as warm for copies of the opening, so they were sent without a share and without a latest time.

Change: copies go by the record that the table holds now.

Measured: 2 cases failed before; tests of steering, hedging and the return of a zone pass.

--- a/tests/test_cold_return.py
+++ b/tests/test_cold_return.py
@@ -93,6 +93,21 @@
     assert other.packet(flow(1), steering.Kind.DATA, chosen.token).identity == "i-1"
 
 
+@pytest.mark.parametrize("after_s", [0.05, 0.2])
+def test_copy_of_an_opening_to_a_target_that_became_cold_again_needs_a_share(after_s):
+    """The flow holds the target's record of the time when it was warm."""
+    vm = ColdVm(target(1, warm_at_s=50.0))
+    assert vm.packet(flow(1)).identity == "i-1"
+    vm.apply_update(target(1, warm_at_s=120.0, sequence=2), number=1)
+    vm.now_s += after_s
+    assert vm.packet(flow(1), retransmit_count=1) is steering.DROPPED_COLD
+    vm.ask(vm.make_granter())
+    vm.now_s += after_s
+    sent = vm.packet(flow(1), retransmit_count=2)
+    assert vm.holder.is_limited(sent, vm.now_s)
+    assert vm.core.counters.events["cold_openings"] == 1
+
+
 def test_target_that_becomes_cold_again_gets_nothing_more():
     vm = ColdVm(target(1, warm_at_s=50.0), target(2, warm_at_s=50.0))
     vm.apply_update(target(2, warm_at_s=102.0, sequence=2), number=1)
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -429,6 +429,8 @@
         return self._repeat(flow, now_s)
 
     def _repeat(self, flow: flowstate.Flow, now_s: float) -> roster.Target | errors.Nothing:
+        # The newest record: the target may have become cold since the flow was placed.
+        flow.target = flow.load.target
         if self._holder is None or self._holder.charge(flow.target, now_s):
             return flow.target
         return DROPPED_COLD
