An entry VM that could not read the evacuated zones asks for them again

Cause: a control VM sends evacuated zones once on a connection. If another part of that update cannot be read, the whole update is passed over; later updates named a higher revision without the zones, and the entry VM went on sending to the zone for as long as the connections last.

Change: an entry VM that is named a higher revision than it holds, without the zones, closes the connection; its next greeting says what it holds, and the control VM sends them. Counted as places_missed.

--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -14,6 +14,7 @@
     consensus,
     errors,
     events,
+    feed,
     lean_settings,
     pacing,
     ports,
@@ -767,3 +768,39 @@
         await site.stop()
 
     asyncio.run(play())
+
+
+def test_entry_vm_that_missed_the_evacuated_zones_connects_anew_and_asks_for_them(
+    site, monkeypatch
+):
+    """The update that named them could not be read; the control VM takes them for known."""
+    entry = lean_entry.LeanEntry(
+        config=lean_settings.Entry(
+            **site.common("127.0.0.21"), packets=("127.0.0.21", 1), ready=("127.0.0.21", 2)
+        ),
+        codec=packet.Codec(),
+        output=site.notes,
+    )
+    link = links.Link(owner=entry, peer="c1:1", clock=lean.now_s)
+    aborted = []
+    monkeypatch.setattr(link, "abort", lambda: aborted.append(entry.view.places_revision))
+
+    def take(**fields):
+        update = feed.Update(is_current=True, is_complete=True, **fields)
+        entry.frame_received(link, links.Kind.UPDATE, feed.encode(update, lean.now_s()))
+
+    take(places_revision=2, evacuated_zones=("a",))
+    take(places_revision=2)
+    take(places_revision=1)
+    assert (entry.view.evacuated_zones, aborted) == ({"a"}, [])
+    unreadable = json.loads(
+        feed.encode(feed.Update(places_revision=3, evacuated_zones=("a", "b")), lean.now_s())
+    )
+    unreadable["targets"] = [["i-1"]]
+    entry.frame_received(link, links.Kind.UPDATE, json.dumps(unreadable).encode())
+    assert (entry.view.evacuated_zones, aborted) == ({"a"}, [])
+    take(places_revision=3)
+    assert aborted == [2]
+    take(places_revision=3, evacuated_zones=("a", "b"))
+    take(places_revision=3)
+    assert (entry.view.evacuated_zones, aborted) == ({"a", "b"}, [2])
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -461,13 +461,24 @@
         if kind is not links.Kind.UPDATE:
             return
         try:
-            self.view.apply_update(link.peer, feed.decode(payload, link.peer, now_s), now_s)
+            update = feed.decode(payload, link.peer, now_s)
+            self.view.apply_update(link.peer, update, now_s)
+            self._check_places(link, update)
         except errors.RuleError as error:
             self._output.write(events.RULES_REFUSED, error.step, link.peer, error.reason)
         except errors.DatagramError as error:
             self._output.write(events.DATAGRAM_REFUSED, error.step, link.peer, error.reason)
         self._tell()
 
+    def _check_places(self, link: links.Link, update: feed.Update) -> None:
+        """Connects anew if the control VM takes evacuated zones for known that are not.
+
+        The update that named them could not be read; after a new greeting they are sent again.
+        """
+        if update.places_revision > self.view.places_revision:
+            self.counters.events["places_missed"] += 1
+            link.abort()
+
     def _take_grant(self, link: links.Link, payload: bytes, now_s: float) -> None:
         try:
             self._holder.take_grant(payload, now_s)
