A target that was taken for ended and runs after all keeps its flows

Cause: that a target has ended was kept as long as its token was known, also after the same incarnation was announced as running again. That happens where the late deregistration of an earlier start under the same name ended its successor, or a clock had gone back, until its announcements win the dispute. From then on one lost packet was enough to reset any of its open flows.

Change: a record that is ready or draining voids it.

--- a/tests/test_resets.py
+++ b/tests/test_resets.py
@@ -370,3 +370,18 @@
     for number in range(1000):
         judge.note_answered(int(number % 16 == 0), 1000.0 + number)
     assert judge.needed_spans >= 5
+
+
+def test_target_that_was_taken_for_ended_and_runs_after_all_keeps_its_flows():
+    """The late deregistration of an earlier start ends its successor until that is disproved."""
+    vm = test_steering.Vm(
+        test_steering.target(1), test_steering.target(2), rules=test_steering.IDEMPOTENT_RULES
+    )
+    key = test_steering.flow(1)
+    chosen = vm.open(key)
+    vm.apply_update(attrs.evolve(chosen, state=roster.State.ENDED), number=1)
+    vm.packet(test_steering.flow(50))
+    again = attrs.evolve(chosen, order_ms=chosen.order_ms + 1, sequence=chosen.sequence + 3)
+    vm.apply_update(again, number=1)
+    vm.now_s += 3.0
+    assert test_steering.retransmit_beside_others(vm, key, chosen, (0.2, 0.6)) is None
--- a/zinniaspoke/loadtable.py
+++ b/zinniaspoke/loadtable.py
@@ -75,10 +75,12 @@
             self.loads[target.token] = load
         load.target = target
         load.is_silent = not self._view.is_alive(target.identity)
+        if target.state is roster.State.ENDED:
+            self._judge.note_ended(target.token, now_s)
+            return
+        self._judge.note_running(target.token)
         if target.state is roster.State.READY:
             self._ready_by_service.setdefault(target.service, []).append(load)
-        elif target.state is roster.State.ENDED:
-            self._judge.note_ended(target.token, now_s)
 
     def _retire(self, load: choosing.Load, now_s: float) -> None:
         """Keeps what its flows need of a target that has started again."""
--- a/zinniaspoke/resets.py
+++ b/zinniaspoke/resets.py
@@ -161,6 +161,14 @@
         """
         self._ended_s.setdefault(token, now_s)
 
+    def note_running(self, token: int) -> None:
+        """Records that a target runs, by its own word; it may have been taken for ended before.
+
+        Args:
+            token: Token of the incarnation.
+        """
+        self._ended_s.pop(token, None)
+
     def keep_ended(self, tokens: Iterable[int]) -> None:
         """Forgets that targets have ended, except for those given.
 
