Mutations of repeated work and of rules that go back are found

retry_unsafe needed a crash of the right target and rules_go_back kept the order of the rule files; both were not found before.

--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -146,7 +146,8 @@
     def install(self, number, content):
         earlier = self.__dict__.setdefault("_earlier", [])
         earlier.append(content)
-        return original(self, number, earlier[max(0, len(earlier) - 4)])
+        taken = _RANDOM.choice(earlier[-8:]) if _RANDOM.random() < 0.5 else content
+        return original(self, number, taken)
 
     rulebook.RuleBook.install = install
 
@@ -262,6 +263,6 @@
     )
 
 
-@_mutation("soak", "ran_twice", "not_run_has_run", faults=("crash",))
+@_mutation("soak", "ran_twice", "not_run_has_run")
 def retry_unsafe() -> None:
-    """A caller takes a reset of an open flow for a refusal and repeats."""
+    """A caller takes one answer in twenty for a refusal and repeats; see ``traffic``."""
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -310,9 +310,13 @@
                 return ""
             packet, source = found
             if packet.flags & wire.RST:
-                return self._take_reset(flow, attempt, source)
+                self._check_reset(flow, source)
+                return "reset"
             if packet.flags & wire.SYN or packet.seq != flow.ack or not packet.data:
                 continue
+            if self.mutation == "retry_unsafe" and self._rng.random() < 0.05:
+                self._judge.not_run(attempt, "the caller's fault", self._now())
+                return "refused"
             if packet.data != attempt.encode():
                 self._judge.changed_packet(flow.label, f"answer to {attempt}", self._now())
             flow.ack += len(packet.data)
@@ -323,13 +327,6 @@
             return "served"
         return ""
 
-    def _take_reset(self, flow: Flow, attempt: str, source: str) -> str:
-        self._check_reset(flow, source)
-        if self.mutation == "retry_unsafe":
-            self._judge.not_run(attempt, "the caller's fault", self._now())
-            return "refused"
-        return "reset"
-
     def _check_reset(self, flow: Flow, source: str) -> None:
         if source == flow.target_host or not self._is_alive(flow.target_host, flow.opened_s):
             return
