--- a/soak/launcher.py
+++ b/soak/launcher.py
@@ -3,9 +3,12 @@
 import os
 import pathlib
 import runpy
+import signal
 import sys
 import time
 
+# What this module takes to load is not the program's.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # As the programs have it.
 sys.modules["ssl"] = None
 
@@ -52,6 +55,7 @@
     mutation = os.environ.get("SOAK_MUTATION", "")
     if mutation:
         mutations.apply(mutation, role)
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     runpy.run_path(str(folder / f"{role}.py"), run_name="__main__")
 
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -172,6 +172,16 @@
         if self.is_running:
             self.process.send_signal(number)
 
+    def takes_hangups(self) -> bool:
+        """Whether the process has come to its first line, before which no program can act."""
+        try:
+            text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return True
+        masks = dict(line.split(":\t") for line in text.splitlines() if line.startswith("Sig"))
+        taken = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return bool(taken & 1 << (signal.SIGHUP - 1))
+
     def end(self) -> None:
         """Ends the process at the end of a run."""
         if self.is_running:
--- a/soak/run.py
+++ b/soak/run.py
@@ -261,6 +261,8 @@
     async def _play_settings(self, place: str, _length_s: float) -> None:
         vm = self._vms[place]
         vm.write_settings(self._rng)
+        while not vm.takes_hangups():
+            await asyncio.sleep(0.01)
         vm.signal(signal.SIGHUP)
 
     async def _play_roll(self, place: str, _length_s: float) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -310,3 +311,23 @@
 
 def test_platform_is_no_package():
     assert not (ROOT / "platform" / "__init__.py").exists()
+
+
+@pytest.mark.parametrize("program", ["control", "entry"])
+def test_settings_that_change_while_a_program_starts_do_not_end_it(program):
+    """Found by the soak: SIGHUP came before the handler and ended the process."""
+    hangup = 1 << (signal.SIGHUP - 1)
+    command = [sys.executable, "-X", "importtime", f"platform/{program}.py"]
+    started = subprocess.Popen(
+        command, cwd=ROOT, stderr=subprocess.PIPE, env={"ZINNIASPOKE_BOOT": "/dev/null"}
+    )
+    # The first module of the product; most of a start is still to come.
+    for line in started.stderr:
+        if b"zinniaspoke.errors" in line:
+            break
+    status = pathlib.Path(f"/proc/{started.pid}/status").read_text()
+    masks = dict(line.split(":\t") for line in status.splitlines() if line.startswith("Sig"))
+    started.kill()
+    started.stderr.close()
+    started.wait()
+    assert (int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)) & hangup
