--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -53,7 +53,7 @@
     mutation = mutations.MUTATIONS[name]
     faults = []
     for index, kind in enumerate(mutation.faults * 3):
-        places = {"leave": "014", "crash": "014", "evacuate": "aab", "cut": ("c1", "c2", "c3")}
+        places = {"leave": "014", "crash": "014", "evacuate": "aab", "part": ("c1", "c2", "c3")}
         place = places.get(kind, ("e1", "e2", "e3"))[index]
         faults.append(schedule.Fault(at_s=6.0 + 6 * index, kind=kind, place=place, length_s=7.0))
     result = play(seed, MUTATION_SECONDS, faults, name)
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -208,7 +208,7 @@
     control.Control.submit = submit
 
 
-@_mutation("control", "read_older", faults=("cut",))
+@_mutation("control", "read_older", faults=("part",))
 def stale_read() -> None:
     """A control VM answers reads from what it has, without a majority."""
     from zinniaspoke.daemons import lean_control
--- a/soak/net.py
+++ b/soak/net.py
@@ -8,6 +8,8 @@
 
 POLL_S = 0.03
 CHUNK_BYTES = 65536
+# Stands for all VMs in a cut: callers, targets and operators reach either side.
+VMS = "vms"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -23,11 +25,13 @@
 
     Attributes:
         zone_of: Zone of each machine's address.
+        vms: Addresses of VMs.
     """
 
     def __init__(self, *, zone_of: dict[str, str]) -> None:
         """Starts with all paths open."""
         self.zone_of = zone_of
+        self.vms = frozenset(zone_of)
         self._cuts: list[tuple[str, str]] = []
         self._delays: dict[str, float] = {}
         self._connections: set[_Connection] = set()
@@ -49,6 +53,8 @@
         self._delays[host] = delay_s
 
     def _matches(self, pattern: str, host: str, other: str) -> bool:
+        if pattern == VMS:
+            return host in self.vms
         if pattern in ("*", host):
             return True
         return pattern == self.zone_of.get(host) != self.zone_of.get(other)
--- a/soak/run.py
+++ b/soak/run.py
@@ -290,6 +290,10 @@
         host = self._vms[place].host
         await self._cut([(host, "*"), ("*", host)], [place], length_s)
 
+    async def _play_part(self, place: str, length_s: float) -> None:
+        host = self._vms[place].host
+        await self._cut([(host, net.VMS), (net.VMS, host)], [place], length_s)
+
     async def _play_one_way(self, place: str, length_s: float) -> None:
         host = self._vms[place].host
         pair = (host, "*") if self._rng.random() < 0.5 else ("*", host)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -39,6 +39,7 @@
     ("freeze", 3, (*ENTRIES, *CONTROLS), (0.5, 4.0)),
     ("settings", 2, (*ENTRIES, *CONTROLS), (0, 0)),
     ("cut", 3, (*ENTRIES, *CONTROLS), (0.5, 5.0)),
+    ("part", 2, (*ENTRIES, *CONTROLS), (0.5, 5.0)),
     ("one_way", 2, (*ENTRIES, *CONTROLS), (0.5, 5.0)),
     ("cut_zone", 1, ("a", "b", "c"), (1.0, 5.0)),
     ("delay", 2, (*ENTRIES, *CONTROLS), (1.0, 4.0)),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -170,7 +170,7 @@
     assert schedule.draw(5, 60) == schedule.draw(5, 60) != schedule.draw(6, 60)
     kinds = {fault.kind for seed in range(200) for fault in schedule.draw(seed, 60)}
     assert all(hasattr(run.Run, f"_play_{kind}") for kind in kinds)
-    assert len(kinds) == 20
+    assert len(kinds) == 21
 
 
 def test_schedule_is_shortened_to_the_faults_that_matter():
@@ -188,6 +188,12 @@
     assert paths.reaches("1", "2") and paths.reaches("3", "1") and not paths.reaches("1", "3")
 
 
+def test_a_vm_cut_from_other_vms_is_reached_by_operators():
+    paths = net.Net(zone_of={"1": "a", "2": "a"})
+    paths.cut("1", net.VMS)
+    assert not paths.reaches("1", "2") and paths.reaches("1", "operator")
+
+
 @pytest.fixture
 def disk(tmp_path, monkeypatch):
     monkeypatch.setenv("SOAK_DISK", str(tmp_path / "disk.json"))
