--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -238,7 +238,7 @@
 
 @_mutation("control", "process_ended")
 def fall_over() -> None:
-    """A control VM's process ends by itself at one announcement in a hundred."""
+    """A control VM's process ends by itself at one announcement in twenty."""
     import os
 
     from zinniaspoke.daemons import lean_control
@@ -246,7 +246,7 @@
     original = lean_control.LeanControl.announce
 
     def announce(self, target):
-        if _RANDOM.random() < 0.01:
+        if _RANDOM.random() < 0.05:
             os._exit(3)
         original(self, target)
 
