--- a/soak/processes.py
+++ b/soak/processes.py
@@ -16,7 +16,7 @@
 CALL_PORT, READY_PORT, PACKET_PORT, PEER_PORT = 8166, 8167, 8172, 7720
 ROUTE_HOST = "198.18.0.1"
 HEARTBEAT_S = 0.8
-# What a target bears that has just started; 0 while the product has no limit on cold targets.
+# Requests a second that a target bears after its start, and for how long; 0 judges no limit.
 COLD_PER_S, COLD_START_S = 1.0, 5.0
 # Bounds as a deployment would have them.
 BOUNDS = {
--- a/tests/test_cold_return.py
+++ b/tests/test_cold_return.py
@@ -7,7 +7,7 @@
 from test_coldshares import LIMIT, assert_bound, lead
 from test_steering import LEDGER, RULES, Vm, flow, target, update
 
-from zinniaspoke import coldshares, roster, steering, subscription
+from zinniaspoke import coldshares, errors, roster, steering, subscription
 from zinniaspoke.coldshares import LEADER_WAIT_S
 
 COLD_RULES = RULES + b"\nservice ledger cold_per_s=0.0 cold_start_s=2.0 # t: t"
@@ -250,3 +250,14 @@
     else:
         # It is all there is: at least half of what its targets may get.
         assert total > 0.5 * len(fleet.cold) * LIMIT * (COLD_END_S - RETURN_S)
+
+
+@pytest.mark.parametrize("after_s", [0.05, 0.2])
+def test_copies_of_openings_to_a_target_that_started_again_cold_are_not_sent_there(after_s):
+    """The soak saw 3 openings in a second where 2.5 are allowed."""
+    vm = ColdVm(target(1, sequence=9))
+    assert all(vm.packet(flow(n)).identity == "i-1" for n in range(9))
+    vm.apply_update(target(1, started_ms=2000, warm_at_s=200.0, sequence=1))
+    vm.now_s += after_s
+    copies = [vm.packet(flow(n), retransmit_count=1) for n in range(9)]
+    assert all(isinstance(found, errors.Nothing) for found in copies)
