Tell where a flow would go now, and why, without sending it

Cause: operators want to know what an entry VM would do with a given request before they send it. Change: zinniaspoke where asks an entry VM of the users' platform at its metrics address; where.py describes what Steering.consider and Selector.preview, the code that decides, return. The port to the form of packets is a module. Not for the product's own entry program, whose command is explain.

--- a/tests/test_lean_daemons.py
+++ b/tests/test_lean_daemons.py
@@ -5,21 +5,25 @@
 import socket
 import threading
 
+import attrs
 import control as control_program
 import packet
 import pytest
 from test_platform import BEAT, document, route
 
 from zinniaspoke import (
+    cli,
     consensus,
     errors,
     events,
     feed,
     lean_settings,
     pacing,
+    porcelain,
     ports,
     siblings,
     storage,
+    where,
 )
 from zinniaspoke.adapters import links, page
 from zinniaspoke.daemons import calls, lean, lean_control, lean_entry
@@ -804,3 +808,28 @@
     take(places_revision=3, evacuated_zones=("a", "b"))
     take(places_revision=3)
     assert (entry.view.evacuated_zones, aborted) == ({"a", "b"}, [2])
+
+
+def test_operator_asks_an_entry_vm_where_flows_would_go(site, capsys):
+    """The command's words reach the entry VM over its metrics address."""
+
+    async def play():
+        await founded(site)
+        assert await site.put(document(route(), version=5)) == 200
+        metrics = ("127.0.0.21", free_port("127.0.0.21"))
+        await site.start_entry(metrics=metrics)
+        assert (await site.call(HOSTS[1], "PUT", "/api/instances/i-7f3a91c2", BEAT_DATA))[0] == 200
+        await site.until(lambda: site.entry.is_ready and len(site.entry.view.targets))
+        vm = f"127.0.0.21:{metrics[1]}"
+        question = where.parse("127.0.0.41:4001", "198.18.0.1:443", 3)
+        answers = (await porcelain.ask_where(vm, question))["flows"]
+        assert [answer["target"] for answer in answers] == ["i-7f3a91c2"] * 3
+        assert {answer["rules_number"] for answer in answers} == {5}
+        words = ["where", f"--vm={vm}", "127.0.0.41:4001", "198.18.0.1:444"]
+        assert await asyncio.to_thread(cli.main, words) == cli.EXIT_NO
+        assert "refused_no_route" in capsys.readouterr().out
+        with pytest.raises(errors.Error, match="count"):
+            await porcelain.ask_where(vm, attrs.evolve(question, count=0))
+        await site.stop()
+
+    asyncio.run(play())
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -68,11 +68,12 @@
     assert selector.usable([full], QUERY) == [full]
 
 
-def test_trace_shows_what_each_step_leaves_and_selects_nothing():
+def test_preview_shows_what_each_step_leaves_and_selects_nothing():
     selector = make_selector(View(frozenset({"a"})))
     loads = [make_load("i-1", "a"), make_load("i-2", "b")]
-    traced = dict(selector.trace(loads, QUERY))
-    assert traced["evacuation"] == [loads[1]]
+    preview = selector.preview(loads, QUERY, 0)
+    assert dict(preview.steps)["evacuation"] == [loads[1]]
+    assert preview.found.load is loads[1]
     assert loads[1].last_placed_s < 0
 
 
--- a/zinniaspoke/cli.py
+++ b/zinniaspoke/cli.py
@@ -1,6 +1,7 @@
 """The command line: parses and prints only."""
 
 import asyncio
+import collections
 import json
 import pathlib
 import signal
@@ -12,7 +13,7 @@
 import tabulate
 from absl import flags
 
-from zinniaspoke import demo, errors, porcelain, settings
+from zinniaspoke import demo, errors, porcelain, settings, where
 from zinniaspoke.adapters import logs
 from zinniaspoke.proto import control_pb2
 
@@ -345,6 +346,41 @@
     return EXIT_OK
 
 
+def _vm_flag(values: flags.FlagValues) -> None:
+    text = "HOST:PORT of the entry VM's metrics address."
+    flags.DEFINE_string("vm", None, text, flag_values=values)
+    text = "Number of flows, from the caller's port upwards."
+    flags.DEFINE_integer("count", 1, text, lower_bound=1, flag_values=values)
+
+
+@_command(
+    "where --vm=HOST:PORT [--count=N] [--json] CALLER:PORT SERVICE:PORT",
+    "Tells where flows would go now, and why, without sending them.",
+    _vm_flag,
+    _json_flag,
+)
+def _run_where(values: flags.FlagValues, words: list[str]) -> int:
+    if len(words) != 2:
+        raise flags.Error("takes CALLER:PORT SERVICE:PORT")
+    question = where.parse(words[0], words[1], values["count"].value)
+    found = asyncio.run(porcelain.ask_where(str(_need(values, "vm")), question))
+    answers = found["flows"]
+    if values["json"].value:
+        _print_json(found)
+    else:
+        spread = collections.Counter((a["outcome"], a["target"], a["reason"]) for a in answers)
+        rows = [(*key, count) for key, count in spread.most_common()]
+        _print_table(rows, ("outcome", "target", "reason", "flows"))
+        first = answers[0]
+        print(f"\nrule file {first['rules_number']}, {first['rule'] or 'no rule'}")
+        print(f"service {first['service'] or '-'}, {first['queued_count']} openings wait")
+        _print_table(first["steps"], ("step", "targets left"))
+        headers = ("target", "zone", "in flight", "unanswered", "answered s ago")
+        _print_table(first["candidates"], headers)
+    has_target = all(a["target"] for a in answers)
+    return EXIT_OK if has_target else EXIT_NO
+
+
 @_command(
     "report [--json] [--html=FILE]",
     "Prints the service-level burn of every service.",
@@ -451,6 +487,9 @@
         for fault in error.reason.split("; "):
             print(f"no: {fault}", file=sys.stderr)
         return EXIT_NO
+    except errors.UnreachableError as error:
+        print(f"zinniaspoke {name}: {error}", file=sys.stderr)
+        return EXIT_UNKNOWN
     except errors.Error as error:
         print(f"zinniaspoke {name}: {error}", file=sys.stderr)
         return EXIT_NO
--- a/zinniaspoke/daemons/lean.py
+++ b/zinniaspoke/daemons/lean.py
@@ -20,7 +20,10 @@
 
 
 async def serve_metrics(
-    config: lean_settings.Common, render: Callable[[], bytes], output: ports.LogPort
+    config: lean_settings.Common,
+    render: Callable[[], bytes],
+    output: ports.LogPort,
+    others: dict[str, page.Handler] | None = None,
 ) -> list[asyncio.AbstractServer]:
     """Serves counters where the settings say; a process goes on without them.
 
@@ -28,6 +31,7 @@
         config: The settings.
         render: Returns the text.
         output: Where a port that cannot be opened is told.
+        others: What else is answered there, by path.
 
     Returns:
         The server, if there is one.
@@ -36,6 +40,8 @@
         return []
 
     def answer(request: page.Request) -> page.Response:
+        if others and request.path in others:
+            return others[request.path](request)
         if request.path != exposition.PATH:
             return page.Response(status=404)
         return page.Response(status=200, body=render(), content_type=exposition.CONTENT_TYPE)
--- a/zinniaspoke/daemons/lean_entry.py
+++ b/zinniaspoke/daemons/lean_entry.py
@@ -1,11 +1,12 @@
 """The entry VM's program for small machines: a packet socket, links to control VMs, steering."""
 
-import abc
 import asyncio
 import json
 import random
 import socket
 
+import attrs
+
 from zinniaspoke import (
     admission,
     coldshares,
@@ -19,12 +20,14 @@
     location,
     observer,
     pacing,
+    packetform,
     ports,
     roster,
     rules,
     siblings,
     steering,
     subscription,
+    where,
 )
 from zinniaspoke.adapters import exposition, links, page
 from zinniaspoke.daemons import lean
@@ -41,60 +44,12 @@
 STATES_POLL_S = 0.01
 # Share of the time that a planned stop is given; the rest is for a slow processor.
 STOP_SHARE = 0.8
+# Beside the counters, on the metrics address.
+WHERE_PATH = "/where"
 # Reasons for which a caller is told that its opening is refused.
 REFUSALS = (*steering.REFUSALS, admission.REFUSED_NO_ROOM)
 
 
-class PacketCodec(abc.ABC):
-    """The form of packets on the platform.
-
-    Attributes:
-        PACKET_FEATURES: What it offers to find flows by.
-    """
-
-    PACKET_FEATURES: location.PacketFeatures
-
-    @abc.abstractmethod
-    def decode(self, data: bytes) -> steering.Packet | errors.Nothing:
-        """Reads what steering needs.
-
-        Args:
-            data: A datagram from the fabric.
-
-        Returns:
-            The packet, or the reason why it is none.
-        """
-
-    @abc.abstractmethod
-    def to_target(self, data: bytes, target: roster.Target, kind: steering.Kind) -> bytes:
-        """Builds the datagram for a target.
-
-        Args:
-            data: The datagram from the fabric.
-            target: Where it goes.
-            kind: What the packet does.
-        """
-
-    @abc.abstractmethod
-    def describe(self, data: bytes) -> str:
-        """Names a packet's flow for the log: CALLER:PORT>ROUTE:PORT.
-
-        Args:
-            data: The datagram from the fabric.
-        """
-
-    @abc.abstractmethod
-    def reset(self, packet: steering.Packet) -> tuple[str, bytes]:
-        """Builds the answer that refuses an opening or ends an open flow.
-
-        Args:
-            packet: The caller's packet.
-
-        Returns:
-            The caller's IP number and the datagram.
-        """
-
-
 class LeanEntry(links.Owner, lean.Program):
     """Joins steering and subscription with sockets.
 
@@ -105,7 +60,7 @@
     """
 
     def __init__(
-        self, *, config: lean_settings.Entry, codec: PacketCodec, output: ports.LogPort
+        self, *, config: lean_settings.Entry, codec: packetform.PacketCodec, output: ports.LogPort
     ) -> None:
         """Prepares the program; opens nothing.
 
@@ -197,7 +152,9 @@
         self._socket.setblocking(False)
         self._socket.bind(self.config.packets)
         self._servers = [await page.listen(handler, *self.config.ready)]
-        self._servers += await lean.serve_metrics(self.config, self.metrics, self._output)
+        self._servers += await lean.serve_metrics(
+            self.config, self.metrics, self._output, {WHERE_PATH: self.where}
+        )
         self._follow()
         loop.add_reader(self._socket.fileno(), self._read_packets)
         self.task = loop.create_task(self._tick_forever())
@@ -431,6 +388,27 @@
             gauges["ejected_share"] = self._shared.ejected_share
         return exposition.render(self.counters, gauges)
 
+    def where(self, request: page.Request) -> page.Response:
+        """Answers where flows would go now; see ``where.Question``.
+
+        Args:
+            request: The operator's request; its body is the question.
+        """
+        try:
+            question = where.Question.decode(request.body)
+        except errors.SettingsError as error:
+            return page.Response(status=400, body=json.dumps({"error": error.reason}).encode())
+        now_s = lean.now_s()
+        host, first_port = question.caller
+        answers = [
+            where.describe(
+                self.steering, self._codec.opening((host, port), question.service), now_s
+            )
+            for port in range(first_port, first_port + question.count)
+        ]
+        body = {"vm": self.config.name, "flows": [attrs.asdict(answer) for answer in answers]}
+        return page.Response(status=200, body=json.dumps(body).encode())
+
     # Control VMs
 
     def _follow(self) -> None:
--- a/zinniaspoke/errors.py
+++ b/zinniaspoke/errors.py
@@ -45,6 +45,10 @@
     """An announcement of a target that cannot be taken."""
 
 
+class UnreachableError(Error):
+    """A VM that does not answer."""
+
+
 class StorageError(Error):
     """A data folder or file that cannot be used."""
 
--- a/zinniaspoke/porcelain.py
+++ b/zinniaspoke/porcelain.py
@@ -9,12 +9,24 @@
 import aiohttp
 import attrs
 
-from zinniaspoke import burn, errors, evacuations, levels, rules, secretfiles, settings, status
+from zinniaspoke import (
+    burn,
+    errors,
+    evacuations,
+    levels,
+    rules,
+    secretfiles,
+    settings,
+    status,
+    where,
+)
 from zinniaspoke.adapters import logs, report_page, rpc
 from zinniaspoke.daemons import control, entry
 from zinniaspoke.proto import control_pb2
 
 HTTP_TIMEOUT_S = 2.0
+# A VM answers 200 flows within some hundredths of a second.
+WHERE_LIMIT_S = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -209,6 +221,35 @@
         await client.close()
 
 
+async def ask_where(vm: str, question: where.Question) -> dict:
+    """Asks an entry VM where flows would go now.
+
+    Args:
+        vm: HOST:PORT of its metrics address.
+        question: The flows.
+
+    Returns:
+        Its name under ``vm`` and under ``flows`` a ``where.Answer`` for each, as a table.
+
+    Raises:
+        errors.Error: It cannot be reached, or refuses the question.
+    """
+    timeout = aiohttp.ClientTimeout(total=WHERE_LIMIT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.post(f"http://{vm}/where", data=question.encode()) as response,
+        ):
+            body = await response.json()
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        reason = f"{type(error).__name__}: {error}"
+        raise errors.UnreachableError(step="ask where", peer=vm, reason=reason) from error
+    if response.status != 200:
+        reason = str(body.get("error", f"status {response.status}"))
+        raise errors.Error(step="ask where", peer=vm, reason=reason)
+    return body
+
+
 async def show(config: settings.OperatorSettings) -> RulesInForce:
     """Reads the rules in force from all replicas and takes the highest number.
 
--- a/zinniaspoke/selection.py
+++ b/zinniaspoke/selection.py
@@ -231,6 +231,23 @@
         return f"{self.steps[-1]}:{self.left_count}" if self.steps else ""
 
 
+@attrs.frozen(kw_only=True)
+class Preview:
+    """What a selection would do.
+
+    Attributes:
+        steps: Names of the steps with the candidates that each leaves.
+        left: The candidates among which the policy chooses.
+        found: A choice of the policy, or why there is none.
+        queued_count: Openings of the service that wait already.
+    """
+
+    steps: tuple[tuple[str, Loads], ...]
+    left: Loads
+    found: Selected | errors.Nothing
+    queued_count: int
+
+
 class Selector:
     """Runs the steps and the placement policy."""
 
@@ -302,15 +319,25 @@
         for observe in self._observers:
             observe(load, route, duration_s, now_s)
 
-    def trace(self, loads: Loads, query: Query) -> list[tuple[str, Loads]]:
-        """Returns the candidates that each step leaves, without selecting one.
+    def preview(self, loads: Loads, query: Query, queued_count: int) -> "Preview":
+        """Runs the steps and the policy without recording or charging anything.
 
         Args:
             loads: Ready targets of the service.
             query: The opening.
+            queued_count: Openings of the service that wait already.
         """
-        traced = []
+        steps: list[tuple[str, Loads]] = []
+        reason = None if loads else REFUSED_NO_TARGET
         for step, exclude in self._steps:
-            loads = exclude(loads, query) if loads else loads
-            traced.append((step.name, loads))
-        return traced
+            if reason is None:
+                loads = exclude(loads, query)
+                reason = None if loads else step.reason
+            steps.append((step.name, loads))
+        if reason is None and queued_count:
+            reason = NO_CAPACITY
+        found: Selected | errors.Nothing = reason
+        if reason is None:
+            load = self._choose(loads, query.now_s)
+            found = Selected(load=load, steps=(), left_count=len(loads))
+        return Preview(steps=tuple(steps), left=loads, found=found, queued_count=queued_count)
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -252,20 +252,13 @@
             del self._flows[packet.flow]
         if flow is not None and flow.stage is not flowstate.Stage.CLOSED:
             return self._steer_retransmission(flow, packet, now_s)
-        if not self._view.is_ready(now_s):
-            # Dropped, not refused: the rules may be known by the caller's next retransmission.
-            return DROPPED_NOT_READY
-        if not self._view.is_fresh(now_s):
-            return DROPPED_NOT_FRESH
-        rule = self.rule_of(packet)
-        if isinstance(rule, errors.Nothing):
-            return rule
-        service = rule.service_for(hashing.short_hash(packet.flow))
+        found = self.consider(packet, now_s)
+        if isinstance(found, errors.Nothing):
+            return found
+        rule, service = found
         queue = self._backlogs[service]
         if packet.flow in queue:
             return WAITING
-        if not self._table.ready(service):
-            return REFUSED_NO_TARGET
         may_probe = not packet.retransmit_count
         found = NO_CAPACITY if queue else self._place(service, now_s, may_probe=may_probe)
         if found is NO_CAPACITY:
@@ -274,6 +267,53 @@
             return found
         return self._admit(packet, found, rule, now_s)
 
+    def consider(self, packet: Packet, now_s: float) -> tuple[rules.Rule, str] | errors.Nothing:
+        """Returns the rule and service of a new opening, or why it is refused or dropped.
+
+        Args:
+            packet: The opening.
+            now_s: Current time.
+        """
+        self._table.refresh(now_s)
+        if not self._view.is_ready(now_s):
+            # Dropped, not refused: the rules may be known by the caller's next retransmission.
+            return DROPPED_NOT_READY
+        if not self._view.is_fresh(now_s):
+            return DROPPED_NOT_FRESH
+        rule = self.rule_of(packet)
+        if isinstance(rule, errors.Nothing):
+            return rule
+        service = rule.service_for(hashing.short_hash(packet.flow))
+        return (rule, service) if self._table.ready(service) else REFUSED_NO_TARGET
+
+    def preview(self, service: str, now_s: float) -> selection.Preview:
+        """Shows what the selection would do with an opening, without counting it.
+
+        Args:
+            service: The service.
+            now_s: Current time.
+        """
+        kept = self.counters.events.copy()
+        queued_count = len(self._backlogs[service])
+        query = selection.Query(service=service, now_s=now_s)
+        preview = self._selector.preview(self._table.ready(service), query, queued_count)
+        self.counters.events.clear()
+        self.counters.events.update(kept)
+        return preview
+
+    def find_flow(self, key: bytes) -> flowstate.Flow | None:
+        """Returns a flow's record, or None.
+
+        Args:
+            key: The flow's key.
+        """
+        return self._flows.get(key)
+
+    @property
+    def rules_number(self) -> int:
+        """Number of the rule file in force."""
+        return self._view.rules.number
+
     def _is_kept_off(self, flow: flowstate.Flow) -> bool:
         """Whether a flow that is not open yet was sent to a target that gets no new flows now.
 
