--- a/review/standins/flows.py
+++ b/review/standins/flows.py
@@ -147,6 +147,7 @@
         service: str,
         zone: str,
         flow_limit: int = 2000,
+        identity: str = "",
     ) -> None:
         """Prepares a target.
 
@@ -156,9 +157,10 @@
             service: Its service.
             zone: Its zone.
             flow_limit: How many flows it holds.
+            identity: Its name; a new one where it is empty.
         """
         self._site = site
-        self.identity = f"i-{random.getrandbits(31) | 1 << 31:x}"
+        self.identity = identity or f"i-{random.getrandbits(31) | 1 << 31:x}"
         self.service = service
         self.host = site.other_host(3, number)
         self.zone = zone
@@ -178,10 +180,14 @@
         """Its address, as it announces it."""
         return f"{self.host}:{self._site.call_port}"
 
-    def start(self) -> None:
-        """Takes packets and begins to announce itself."""
+    def start(self, first_s: float = 0.0) -> None:
+        """Takes packets and begins to announce itself.
+
+        Args:
+            first_s: When its first heartbeat is sent.
+        """
         self._socket = open_socket(self.host, self._site.call_port, self._take)
-        self._spawn(self._announce_forever())
+        self._spawn(self._announce_forever(first_s))
 
     def _spawn(self, job: object) -> None:
         task = asyncio.ensure_future(job)
@@ -207,9 +213,12 @@
                 name, "PUT", f"/api/instances/{self.identity}", json.dumps(body).encode()
             )
             if answer is not None and answer[0] // 100 == 2:
+                if self._sequence == 1:
+                    self._site.note(f"{self.identity}/{self._born}: first heartbeat acknowledged")
                 return
 
-    async def _announce_forever(self) -> None:
+    async def _announce_forever(self, first_s: float) -> None:
+        await asyncio.sleep(first_s)
         while True:
             await self.announce()
             await asyncio.sleep(deployment.HEARTBEAT_S)
