--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,76 +1,77 @@
-"""A heartbeat that lacks fields turns a living target over to another service."""
+"""A target starts again under its name; flows from before its first heartbeat are reset."""
 
 import asyncio
-import json
-import time
+import signal
 
 from standins import deployment, flows
 
-PAYMENTS, STATEMENTS = "carne-api", "extrato-svc"
-ROUTES = {8080: ("unsafe", PAYMENTS), 8443: ("download", STATEMENTS)}
-FLOW_COUNT = 12
+PORT = 8080
+SERVICE = "carne-api"
+TARGET_COUNT = 7
+# At least so many flows are opened, and more until one is at the target.
+FLOW_COUNT, MOST_FLOWS = 6, 50
+# The target is down for this long; the control VM that it calls first stands still for this long.
+DOWN_S, FROZEN_S = 0.3, 2.0
+# Until all machines are in touch again, and a little longer.
+CALM_S = deployment.BOUNDS["contact_window_ms"] / 1000 + 1.0
 
 
 def _build() -> deployment.Deployment:
     return deployment.Deployment(controls=3, entries=1)
 
 
-async def _announce_other(site: deployment.Deployment, target: flows.Target) -> None:
-    """Sends what another writer says: fields are missing, so it names no target to use."""
-    body = {
-        "service": STATEMENTS,
-        "address": target.address,
-        "state": "ready",
-        "sequence": 1,
-        "born": int(time.time() * 1000),
-    }
-    path = f"/api/instances/{target.identity}"
-    answer = await site.call(site.controls[0], "PUT", path, json.dumps(body).encode())
-    site.note(
-        f"heartbeat of {target.identity} for {STATEMENTS} without zone, slots, version and "
-        f"cold_remaining_ms: {answer and answer[0]}"
-    )
+def _target(site: deployment.Deployment, number: int, identity: str = "") -> flows.Target:
+    zone = f"zone-{'abcd'[number % 4]}"
+    return flows.Target(site=site, number=number, service=SERVICE, zone=zone, identity=identity)
 
 
 async def _case(site: deployment.Deployment) -> bool:
-    targets = [
-        flows.Target(site=site, number=number, service=service, zone=f"zone-{zone}")
-        for number, service, zone in (
-            (1, PAYMENTS, "a"),
-            (2, PAYMENTS, "b"),
-            (3, STATEMENTS, "a"),
-            (4, STATEMENTS, "b"),
-        )
-    ]
-    wrong: list[str] = []
-    for target in targets:
-
-        def check(packet: flows.Packet, service: str = target.service) -> None:
-            port = packet.destination[1]
-            if ROUTES[port][1] != service:
-                name = packet.data.decode().split()[0]
-                site.note(f"{name} on route {port} is run by {service}: no manifest allows that")
-                wrong.append(name)
-
-        target.on_run = check
-    manifest = deployment.manifest(1, ROUTES, (PAYMENTS, STATEMENTS))
-    await flows.start(site, manifest, targets)
+    targets = [_target(site, number) for number in range(1, TARGET_COUNT + 1)]
+    routes = {PORT: ("safe", SERVICE)}
+    await flows.start(site, deployment.manifest(1, routes, (SERVICE,)), targets)
     callers = flows.Callers(site, "e1")
+
+    if site.has_trouble:
+        site.send("c1", signal.SIGSTOP)
+        site.note(f"{targets[0].identity} crashes")
+        targets[0].close()
+        await asyncio.sleep(DOWN_S)
+        targets[0] = _target(site, 1, targets[0].identity)
+        targets[0].start()
+        site.note(f"{targets[0].identity} has started again and sends its first heartbeat to c1")
+    opened: list[flows.Flow] = []
+    while len(opened) < MOST_FLOWS and (len(opened) < FLOW_COUNT or not targets[0].flows):
+        opened.append(callers.flow(PORT))
+        if await opened[-1].open() != "open":
+            raise deployment.CaseError("a flow did not open")
+        if await opened[-1].request(f"first-{opened[-1].own[1]}", 0.01) != "served":
+            raise deployment.CaseError("the first request was not served")
+    kept = [flow for flow in opened if flow.own in targets[0].flows]
+    if not kept:
+        raise deployment.CaseError("no flow went to the target")
+    site.note(f"{targets[0].identity} holds {len(kept)} flows")
+    await asyncio.sleep(FROZEN_S)
     if site.has_trouble:
-        await _announce_other(site, targets[0])
-    await asyncio.sleep(0.2)
-    served_count = 0
-    for number in range(FLOW_COUNT):
-        for port in ROUTES:
-            flow = callers.flow(port)
-            if await flow.open() == "open":
-                outcome = await flow.request(f"job-{number}-{port}", 0.02)
-                served_count += outcome == "served"
-                flow.finish()
-    site.note(f"{served_count} of {2 * FLOW_COUNT} served, {len(wrong)} by the wrong service")
-    if not served_count:
-        raise deployment.CaseError("nothing was served")
-    return not wrong
+        site.send("c1", signal.SIGCONT)
+    await asyncio.sleep(CALM_S)
+
+    # A datagram is lost now and then: here a single one, the first copy of a request.
+    lost: list[flows.Packet] = []
+
+    def loses(packet: flows.Packet) -> bool:
+        is_first = bool(packet.data) and not lost
+        if is_first:
+            lost.append(packet)
+        return is_first
+
+    targets[0].loses = loses
+    outcomes = await asyncio.gather(*(f.request(f"second-{f.own[1]}", 0.02) for f in opened))
+    site.note(f"outcomes: {', '.join(outcomes)}")
+    entry = site.host("e1")
+    resets = [flow for flow in kept if flow.outcome == "reset" and flow.reset_by == entry]
+    for flow in resets:
+        site.note(f"open flow {flow.own[1]} was reset by e1 while its target lived")
+    return not resets
 
 
 if __name__ == "__main__":
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.." || exit 2
 export PYTHONPATH=target/deps:review:.
 python3 -m compileall -q review || exit 1
-exec python3 -c "import attrs, standins.deployment, standins.wires"
+exec python3 -c "import standins.deployment, standins.flows, standins.wires"
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -35,8 +35,8 @@
 }
 HEARTBEAT_S = 1.2
 ROLES = {"c": ("control", "core"), "e": ("entry", "frontend")}
-# Exit codes of a case.
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Exit codes of a case; run.sh turns them into 0, 1 and 2. An interpreter that fails exits with 1.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 
 
 class CaseError(Exception):
@@ -394,6 +394,8 @@
         limit_s: How long it may take.
     """
     deployment = build()
+    # A case that is asked to end ends its processes.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(COULD_NOT_RUN))
     try:
         code = asyncio.run(_play(deployment, case, limit_s))
     finally:
