--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -34,6 +34,8 @@
     "flow_lifetime_s": 60,
 }
 HEARTBEAT_S = 1.2
+# The routes' address; nobody sends there, it stands in packets only.
+ROUTE_HOST = "127.9.0.1"
 ROLES = {"c": ("control", "core"), "e": ("entry", "frontend")}
 # Exit codes of a case; run.sh turns them into 0, 1 and 2. An interpreter that fails exits with 1.
 HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
@@ -88,7 +90,7 @@
             try:
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                     with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind(("0.0.0.0", port))
+                        probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
             if port not in found:
@@ -357,7 +359,7 @@
         "routes": [
             {
                 "name": f"r-{port}",
-                "hostname": "198.18.0.1",
+                "hostname": ROUTE_HOST,
                 "path_prefix": f"/{port}/",
                 "route_type": kind,
                 "timeout_ms": 3000,
--- a/review/standins/flows.py
+++ b/review/standins/flows.py
@@ -14,7 +14,6 @@
 from standins import deployment
 
 SYN, ACK, FIN, RST = 32, 2, 8, 128
-ROUTE_HOST = "198.18.0.1"
 # Copies of an opening, and when a caller gives up.
 COPIES_S = (0.0, 0.2, 0.6)
 OPEN_LIMIT_S = 1.4
@@ -394,7 +393,7 @@
         """
         self._callers = callers
         self.own = (callers.host, own_port)
-        self._route = (ROUTE_HOST, port)
+        self._route = (deployment.ROUTE_HOST, port)
         self._seq = random.randrange(1 << 24, 1 << 31)
         self._ack = self._echo = 0
         self.sent_s: list[float] = []
