Review case 4: the late last word of an earlier lifetime ends a living target

Cause: Roster.deregister ends whatever lifetime has the id, and other control VMs take the end that they are passed for the target's own word, so its heartbeats are stale there for good. The case: a planned stop and start under one id while the link to one control VM is cut for 2.1 s.

--- a/review/standins/flows.py
+++ b/review/standins/flows.py
@@ -147,6 +147,7 @@
         zone: str,
         flow_limit: int = 2000,
         identity: str = "",
+        control: int = 0,
     ) -> None:
         """Prepares a target.
 
@@ -157,8 +158,10 @@
             zone: Its zone.
             flow_limit: How many flows it holds.
             identity: Its name; a new one where it is empty.
+            control: Which control VM it calls first; it stays there until a call fails.
         """
         self._site = site
+        self._control = control
         self.identity = identity or f"i-{random.getrandbits(31) | 1 << 31:x}"
         self.service = service
         self.host = site.other_host(3, number)
@@ -166,14 +169,23 @@
         self._flow_limit = flow_limit
         self._born = int(time.time() * 1000)
         self._sequence = 0
+        # Control VMs to which the link is cut; what is sent arrives when it heals.
+        self._cut: dict[str, asyncio.Event] = {}
         self.flows: dict[tuple[str, int], _End] = {}
         self.loses: Callable[[Packet], bool] = lambda packet: False
         self.on_opening: Callable[[Packet], None] = lambda packet: None
         self.on_run: Callable[[Packet], None] = lambda packet: None
         self._socket: socket.socket | None = None
         self._tasks: set[asyncio.Task] = set()
+        # Calls on their way; they outlive the target.
+        self._late: set[asyncio.Task] = set()
         self.state = "ready"
 
+    @property
+    def control(self) -> str:
+        """The control VM that it calls."""
+        return self._site.controls[self._control % len(self._site.controls)]
+
     @property
     def address(self) -> str:
         """Its address, as it announces it."""
@@ -184,10 +196,36 @@
         self._socket = open_socket(self.host, self._site.call_port, self._take)
         self._spawn(self._announce_forever())
 
-    def _spawn(self, job: object) -> None:
+    def _spawn(self, job: object, is_kept: bool = False) -> None:
         task = asyncio.ensure_future(job)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        tasks = self._late if is_kept else self._tasks
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    def cut(self, control: str) -> None:
+        """Cuts the link to a control VM.
+
+        Args:
+            control: The control VM.
+        """
+        self._cut[control] = asyncio.Event()
+        self._site.note(f"link cut: {self.identity} and {control}")
+
+    def heal(self, control: str) -> None:
+        """Heals the link to a control VM.
+
+        Args:
+            control: The control VM.
+        """
+        self._site.note(f"link healed: {self.identity} and {control}")
+        self._cut.pop(control).set()
+
+    async def _arrive_late(self, name: str, method: str, path: str, body: bytes) -> None:
+        """Lets a call arrive once the link has healed, though its caller has turned elsewhere."""
+        await self._cut[name].wait()
+        answer = await self._site.call(name, method, path, body)
+        said = answer[0] if answer else "no answer"
+        self._site.note(f"late {method} {self.identity} arrives at {name}: {said}")
 
     async def announce(self) -> None:
         """Announces itself to one control VM after the other until one acknowledges."""
@@ -203,14 +241,39 @@
             "sequence": self._sequence,
             "born": self._born,
         }
-        for name in self._site.controls:
-            answer = await self._site.call(
-                name, "PUT", f"/api/instances/{self.identity}", json.dumps(body).encode()
-            )
-            if answer is not None and answer[0] // 100 == 2:
-                if self._sequence == 1:
-                    self._site.note(f"{self.identity}/{self._born}: first heartbeat acknowledged")
+        await self._call("PUT", json.dumps(body).encode())
+        if self._sequence == 1:
+            self._site.note(f"{self.identity}/{self._born}: first heartbeat acknowledged")
+
+    async def _call(self, method: str, body: bytes = b"") -> None:
+        """Calls a control VM, and the next one after a second without a good answer."""
+        path = f"/api/instances/{self.identity}"
+        for _ in range(3 * len(self._site.controls)):
+            name = self.control
+            if name in self._cut:
+                self._spawn(self._arrive_late(name, method, path, body), is_kept=True)
+                await asyncio.sleep(1.0)
+                answer = None
+            else:
+                answer = await self._site.call(name, method, path, body)
+            status = answer[0] if answer else 0
+            if method == "DELETE" or not status:
+                self._site.note(f"{method} {self.identity} at {name}: {status or 'no answer'}")
+            if status // 100 == 2:
                 return
+            self._control += 1
+
+    async def leave(self) -> None:
+        """Reports that it drains, and serves on for the bound and a little longer."""
+        self.state = "draining"
+        await self.announce()
+        self._site.note(f"{self.identity}: draining is acknowledged")
+        await asyncio.sleep(deployment.BOUNDS["drain_timeout_ms"] / 1000 + 0.3)
+
+    async def end(self) -> None:
+        """Says that it ends, and ends once that is acknowledged."""
+        await self._call("DELETE")
+        self.close()
 
     async def _announce_forever(self) -> None:
         while True:
