--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,8 @@
 A, B, C = "c1", "c2", "c3"
 ALL = (A, B, C)
 TRY_COUNT = 8
+# The pages cut the core for this long at most.
+CUT_LIMIT_S = 5.5
 READ_S = 6.0
 
 
@@ -40,6 +42,7 @@
     Returns:
         The highest acknowledged version, or None where the elections went another way.
     """
+    links.longest_cut_s()
     everything = (*_pairs(A, B), *_pairs(A, C), *_pairs(B, C))
     try:
         # One control VM misses a change.
@@ -119,6 +122,10 @@
     await asyncio.sleep(0.3)
     await _put(site, version + 2, (A,))
     await _put(site, version + 5, (C,))
+    longest_s = links.longest_cut_s()
+    site.note(f"the longest cut took {longest_s:.2f} s")
+    if longest_s > CUT_LIMIT_S:
+        raise deployment.CaseError("a link was cut for too long")
     return version + 5
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -53,7 +53,7 @@
     old = targets[0]
     await old.leave()
     if site.has_trouble:
-        old.cut("c1")
+        await old.cut("c1")
     await old.end()
     target = targets[0] = _target(site, 1, old.identity, control=1)
     target.start()
--- a/review/standins/flows.py
+++ b/review/standins/flows.py
@@ -202,12 +202,14 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    def cut(self, control: str) -> None:
-        """Cuts the link to a control VM.
+    async def cut(self, control: str) -> None:
+        """Cuts the link to a control VM; the connection that it keeps there stays open.
 
         Args:
             control: The control VM.
         """
+        host = self._site.host(control)
+        self._kept = await asyncio.open_connection(host, self._site.call_port)
         self._cut[control] = asyncio.Event()
         self._site.note(f"link cut: {self.identity} and {control}")
 
@@ -221,11 +223,15 @@
         self._cut.pop(control).set()
 
     async def _arrive_late(self, name: str, method: str, path: str, body: bytes) -> None:
-        """Lets a call arrive once the link has healed, though its caller has turned elsewhere."""
+        """Holds the bytes of a call until the link heals; its sender has closed by then."""
         await self._cut[name].wait()
-        answer = await self._site.call(name, method, path, body)
-        said = answer[0] if answer else "no answer"
-        self._site.note(f"late {method} {self.identity} arrives at {name}: {said}")
+        reader, writer = self._kept
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self._site.host(name)}\r\n"
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        writer.write_eof()
+        self._site.note(f"the bytes of {method} {self.identity} arrive at {name}, then the close")
+        await reader.read()
+        writer.close()
 
     async def announce(self) -> None:
         """Announces itself to one control VM after the other until one acknowledges."""
@@ -272,6 +278,9 @@
 
     async def end(self) -> None:
         """Says that it ends, and ends once that is acknowledged."""
+        # Its heartbeats end with its last word.
+        for task in list(self._tasks):
+            task.cancel()
         await self._call("DELETE")
         self.close()
 
@@ -306,8 +315,9 @@
         elif end is None or (end.is_ended and packet.data):
             self._reply(packet, RST, packet.ack, packet.seq)
         elif packet.flags & FIN:
+            flags = ACK if end.is_ended else FIN | ACK
             end.is_ended = True
-            self._reply(packet, ACK, end.seq, packet.seq + 1)
+            self._reply(packet, flags, end.seq, packet.seq + 1)
         else:
             self._take_data(packet, end)
 
--- a/review/standins/wires.py
+++ b/review/standins/wires.py
@@ -9,6 +9,7 @@
 import collections
 import re
 import struct
+import time
 from collections.abc import Callable
 
 import attrs
@@ -77,11 +78,13 @@
             site: The deployment.
         """
         self._site = site
-        self._is_held: set[tuple[str, str]] = set()
+        # Since when each direction has been cut.
+        self._is_held: dict[tuple[str, str], float] = {}
         self.held: dict[tuple[str, str], collections.deque[Frame]] = collections.defaultdict(
             collections.deque
         )
         self.passed: dict[tuple[str, str], list[Frame]] = collections.defaultdict(list)
+        self._longest_cut_s = 0.0
         self._servers: list[asyncio.AbstractServer] = []
         self._tasks: set[asyncio.Task] = set()
 
@@ -164,9 +167,19 @@
         """
         for pair in pairs:
             if pair not in self._is_held:
-                self._is_held.add(pair)
+                self._is_held[pair] = time.monotonic()
                 self._site.note(f"link cut: {pair[0]} to {pair[1]}")
 
+    def _note_cut(self, since_s: float) -> None:
+        self._longest_cut_s = max(self._longest_cut_s, time.monotonic() - since_s)
+
+    def longest_cut_s(self) -> float:
+        """Returns how long a direction has been cut at a time, since this was last asked."""
+        for since_s in self._is_held.values():
+            self._note_cut(since_s)
+        longest_s, self._longest_cut_s = self._longest_cut_s, 0.0
+        return longest_s
+
     def heal(self, *pairs: tuple[str, str]) -> None:
         """Lets go on what was held, in its order, and all that follows.
 
@@ -175,7 +188,7 @@
         """
         for pair in pairs:
             if pair in self._is_held:
-                self._is_held.discard(pair)
+                self._note_cut(self._is_held.pop(pair))
                 self._site.note(f"link healed: {pair[0]} to {pair[1]}")
             while self.held[pair]:
                 self._pass(pair, self.held[pair].popleft())
