Drop votes of an earlier term, so that a term has one leader

Cause: a vote reply was counted whatever its term. Replies of a higher term were handled on arrival, those of a lower term were left to each handler, and the one of vote replies did not compare it. A connection holds bytes while its path is cut, so a vote of term T arrived at a candidate of term T+1, beside whose leader it led.

Change: Replica.receive drops votes, append replies and hand-overs of a lower term before any handler and before the sender's version is noted. Pre-votes still count from a lower term. Each drop is logged as event 511, at most one of each sender and kind in a term. The simulated cluster's links can hold messages and deliver them later, in order; what is under way is lost with a process at either end.

Why it works: a voter votes once in a term, so of the votes with the candidate's own term no two candidates have a majority.

--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -1,6 +1,7 @@
 """A simulated cluster of control replicas, with faults of disks, clocks, processes and network.
 
 Messages may be lost, duplicated or reordered, and links may be blocked in one or both directions.
+A link may also hold what it carries and deliver it later, in order.
 """
 
 import random
@@ -32,6 +33,8 @@
         self.blocked_links = set()
         self.loss_rate = self.duplicate_rate = 0.0
         self.in_flight = []
+        # Messages that late links hold, by (sender, recipient); each is delivered in order.
+        self.held = {}
         # Messages buffered by the connections of paused VMs, by VM name.
         self.paused = {}
         self.answers = {}
@@ -69,12 +72,19 @@
             self.crash(name)
 
     def crash(self, name):
-        self.cores.pop(name, None)
+        self._end_process(name)
         self.disks[name].crash()
 
+    def _end_process(self, name):
+        """Ends a process; what late links hold from it or for it is lost."""
+        self.cores.pop(name, None)
+        for pair, messages in self.held.items():
+            if name in pair:
+                messages.clear()
+
     def lose_disk(self, name):
         """Stops a VM and wipes its data folder, as if the disk had been replaced."""
-        self.cores.pop(name, None)
+        self._end_process(name)
         self.disks[name].wipe()
 
     def call_core(self, name, call, *arguments):
@@ -113,17 +123,20 @@
         arriving, self.in_flight = self.in_flight, []
         self.rng.shuffle(arriving)
         for message in arriving:
-            name = consensus.name_of(message.recipient)
-            if name in self.paused:
-                self.paused[name].append(message)
-            else:
-                self._deliver(name, message)
+            self._arrive(message)
         for name, core in list(self.cores.items()):
             for message in core.take_messages():
                 self._post(name, message)
             for answer in core.take_answers():
                 self.answers[name, answer.ticket] = answer.reply
 
+    def _arrive(self, message):
+        name = consensus.name_of(message.recipient)
+        if name in self.paused:
+            self.paused[name].append(message)
+        else:
+            self._deliver(name, message)
+
     def _deliver(self, name, message):
         self.call_core(name, lambda core: core.receive(message, self.local_time_s(name)))
 
@@ -140,8 +153,32 @@
         for message in () if are_connections_lost else buffered:
             self._deliver(name, message)
 
+    def hold(self, *pairs):
+        """Makes links late: they keep all messages from now on.
+
+        Args:
+            *pairs: The links as (sender, recipient).
+        """
+        for pair in pairs:
+            self.held.setdefault(pair, [])
+
+    def advance(self, pair, count=1):
+        """Delivers the first messages that a late link holds, in order; it stays late."""
+        for _ in range(min(count, len(self.held.get(pair, ())))):
+            self._arrive(self.held[pair].pop(0))
+            self._check()
+
+    def release(self, *pairs):
+        """Delivers all that late links hold, in order; they are late no longer."""
+        for pair in pairs:
+            self.advance(pair, len(self.held.get(pair, ())))
+            self.held.pop(pair, None)
+
     def _post(self, name, message):
         recipient = consensus.name_of(message.recipient)
+        if (name, recipient) in self.held:
+            self.held[name, recipient].append(message)
+            return
         if (
             frozenset((name, recipient)) in self.blocked_links
             or (name, recipient) in self.blocked_links
@@ -226,6 +263,10 @@
         ticket = self.call_core(name, lambda c: c.submit(number, content, self.local_time_s(name)))
         return name, ticket
 
+    def read(self, through):
+        """Starts a read of the rule file and returns the key of its reply in ``answers``."""
+        return through, self.call_core(through, lambda c: c.read(self.local_time_s(through)))
+
     def order(self, zone, is_evacuated=True, through=None, latest_s=None):
         """Gives a zone order and returns the key of its reply in ``answers``."""
         name = through or self.wait_for_leader()
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -373,3 +373,121 @@
     cluster.isolate(leader)
     keys = [cluster.submit(number, replicas.RULE, leader) for number in (1, 3)]
     assert [answer(cluster, key).outcome for key in keys] == [UNKNOWN, UNKNOWN]
+
+
+def all_links(names):
+    return [(sender, recipient) for sender in names for recipient in names if sender != recipient]
+
+
+def vote_replies(cluster, pair, is_probe):
+    found = [m for m in cluster.held[pair] if m.WhichOneof("body") == "vote_reply"]
+    return [m for m in found if m.vote_reply.is_probe == is_probe]
+
+
+def set_election_deadlines(cluster, **delays_s):
+    for name, core in cluster.cores.items():
+        core.replica._election_deadline_s = cluster.now_s + delays_s.get(name, 60.0)
+
+
+def campaign(cluster, name):
+    set_election_deadlines(cluster, **{name: 0.0})
+    cluster.step()
+
+
+def cut_and_restart(cluster):
+    """Kills all replicas and starts them while all links hold what they carry."""
+    for name in cluster.names:
+        cluster.crash(name)
+    cluster.hold(*all_links(cluster.names))
+    for name in cluster.names:
+        cluster.start(name)
+    set_election_deadlines(cluster)
+
+
+def elect(cluster, name):
+    """Lets a replica campaign until it leads; a first pre-vote may only tell it the term."""
+    for _ in range(5):
+        campaign(cluster, name)
+        cluster.run(0.2)
+        if cluster.cores[name].replica.role is consensus.Role.LEADER:
+            return
+    raise AssertionError(f"{name} was not elected")
+
+
+def test_vote_of_an_earlier_term_elects_no_second_leader():
+    """Guards against two leaders in a term: a late vote was counted in the next term."""
+    cluster = replicas.Cluster(numbering="highest")
+    a, b, c = cluster.names
+    cluster.accept(1)
+    cluster.isolate(b)
+    cluster.accept(10)
+    cluster.heal()
+    cut_and_restart(cluster)
+    campaign(cluster, a)
+    campaign(cluster, a)
+    set_election_deadlines(cluster)
+    cluster.release((a, b))
+    cluster.step()
+    assert len(vote_replies(cluster, (b, a), is_probe=True)) == 2
+    cluster.advance((b, a))
+    cluster.step()
+    cluster.step()
+    (vote,) = vote_replies(cluster, (b, a), is_probe=False)
+    cluster.hold((a, b))
+    cluster.release((b, c), (c, b))
+    elect(cluster, c)
+    assert cluster.cores[c].replica.term == vote.term + 1
+    campaign(cluster, a)
+    cluster.advance((b, a), 2)
+    assert cluster.cores[a].replica.term == vote.term + 1
+    assert cluster.cores[a].replica.role is consensus.Role.CANDIDATE
+    cluster.release(*all_links(cluster.names))
+    cluster.run(0.3)
+    cluster.submit(12, through=a)
+    cluster.accept(15)
+    cluster.run(2.0)
+    reads = [cluster.read(name) for name in cluster.names]
+    cluster.run(1.0)
+    replies = [cluster.answers[key] for key in reads]
+    assert {r.number_in_force for r in replies if r.outcome == YES} == {15}
+
+
+def test_pre_vote_of_a_replica_in_a_lower_term_counts():
+    cluster = replicas.Cluster()
+    cluster.accept(1)
+    cluster.run(1.0)
+    a, b, c = cluster.names
+    cut_and_restart(cluster)
+    cluster.cores[a].replica._log.set_state(cluster.cores[b].replica.term + 3, "")
+    cluster.release((a, b), (b, a), (a, c), (c, a))
+    campaign(cluster, a)
+    cluster.run(0.2)
+    assert cluster.leader() == a
+
+
+def test_hand_over_and_append_reply_of_an_earlier_term_change_nothing():
+    cluster = replicas.Cluster()
+    cluster.accept(1)
+    leader = cluster.leader()
+    replica = cluster.cores[leader].replica
+    other = next(n for n in cluster.names if n != leader)
+    sender = cluster.cores[other].replica.member
+    reply = control_pb2.AppendReply(is_success=True, match_index=replica.last_index + 5, round=99)
+    late = {"sender": sender, "term": replica.term - 1, "recipient": replica.member, "version": 7}
+    replica.receive(control_pb2.ReplicaMessage(append_reply=reply, **late), cluster.now_s)
+    assert replica._progress[sender].round < 99
+    assert replica._versions[sender] == consensus.VERSION
+    follower = cluster.cores[other].replica
+    hand_over = control_pb2.ReplicaMessage(
+        sender=replica.member,
+        recipient=follower.member,
+        term=follower.term - 1,
+        timeout_now=control_pb2.TimeoutNow(),
+    )
+    for _ in range(3):
+        cluster.cores[other].receive(hand_over, cluster.now_s)
+    assert follower.role is consensus.Role.FOLLOWER
+    logged = [n for n in cluster.cores[other].take_notices() if n.event.number == 511]
+    assert [n.detail for n in logged] == [
+        f"timeout_now of term {follower.term - 1} in term {follower.term}"
+    ]
--- a/zinniaspoke/consensus.py
+++ b/zinniaspoke/consensus.py
@@ -33,6 +33,10 @@
 # has few entries.
 SNAPSHOT_AFTER_BYTES = 512 * 1024
 
+# Besides votes, the messages that mean something only in the term in which they were sent. They may
+# arrive in a later one, since a connection holds them while its network path is cut.
+TERM_BOUND_FIELDS = frozenset(("append_reply", "timeout_now"))
+
 _MESSAGE_HANDLERS: dict[str, Callable] = {}
 
 
@@ -78,6 +82,23 @@
     last_sent_s: float = -1e9
 
 
+@attrs.frozen(kw_only=True)
+class OutdatedMessage:
+    """A message that was dropped, as it belongs to an earlier term.
+
+    Attributes:
+        sender: The sender as NAME/IDENTITY.
+        field: What kind of message it is.
+        term: The term in which it was sent.
+        own_term: The recipient's term.
+    """
+
+    sender: str
+    field: str
+    term: int
+    own_term: int
+
+
 @attrs.frozen(kw_only=True)
 class PendingRead:
     """A linearizable read that waits for a majority to confirm the leader.
@@ -111,6 +132,7 @@
         installed_snapshot: Snapshot that the state machine has to load, or None.
         min_version: Replicas of a lower version are not admitted.
         refused_joins: Version of each replica that was not admitted; the caller clears them.
+        outdated_messages: Dropped messages of earlier terms; the caller clears them.
     """
 
     def __init__(
@@ -156,6 +178,7 @@
         self.installed_snapshot: control_pb2.Snapshot | None = None
         self.min_version = 0
         self.refused_joins: dict[str, int] = {}
+        self.outdated_messages: list[OutdatedMessage] = []
         # By sender, the version of its last message; a leader's are those of its own term.
         self._versions: dict[str, int] = {}
         self._applied_index = self.commit_index
@@ -585,7 +608,7 @@
     @_handler_for("append_reply")
     def _on_append_reply(self, message: control_pb2.ReplicaMessage, now_s: float) -> None:
         progress = self._progress.get(message.sender)
-        if self.role is not Role.LEADER or progress is None or message.term != self.term:
+        if self.role is not Role.LEADER or progress is None:
             return
         reply = message.append_reply
         progress.last_reply_s = now_s
@@ -672,14 +695,31 @@
         field = message.WhichOneof("body")
         if field is None:
             return
-        self._versions[message.sender] = message.version
-        if field in ("join_request", "join_reply"):
-            _MESSAGE_HANDLERS[field](self, message, now_s)
-            return
-        if field != "vote_request" and message.term > self.term:
+        is_join = field in ("join_request", "join_reply")
+        if not is_join and field != "vote_request" and message.term > self.term:
             self._enter_term(message.term, now_s)
+        if message.term < self.term and self._is_term_bound(field, message):
+            self.outdated_messages.append(
+                OutdatedMessage(
+                    sender=message.sender, field=field, term=message.term, own_term=self.term
+                )
+            )
+            return
+        self._versions[message.sender] = message.version
         _MESSAGE_HANDLERS[field](self, message, now_s)
 
+    @staticmethod
+    def _is_term_bound(field: str, message: control_pb2.ReplicaMessage) -> bool:
+        """Whether a message means something only in the term in which it was sent.
+
+        A pre-vote may be granted by a replica of a lower term; it is no vote, as voters decide anew
+        in the election that follows. Appends and snapshots of an earlier term are answered, so that
+        their sender learns of the term.
+        """
+        if field == "vote_reply":
+            return not message.vote_reply.is_probe
+        return field in TERM_BOUND_FIELDS
+
     def _accept_leader(self, message: control_pb2.ReplicaMessage, now_s: float) -> bool:
         """Accepts the sender as leader of the current term; rejects one of an older term."""
         if message.term < self.term:
@@ -780,7 +820,7 @@
 
     @_handler_for("timeout_now")
     def _on_timeout_now(self, message: control_pb2.ReplicaMessage, now_s: float) -> None:
-        if self.is_voter and message.term == self.term and self.role is not Role.LEADER:
+        if self.is_voter and self.role is not Role.LEADER:
             self._start_election(now_s, is_transfer=True)
 
     # Compaction
--- a/zinniaspoke/control.py
+++ b/zinniaspoke/control.py
@@ -155,6 +155,9 @@
         self.evacuations = evacuations.Evacuations()
         self.evacuations.load(entries.snapshot)
         self._logged_joins: set[str] = set()
+        # Senders and kinds of the outdated messages that were logged in the term.
+        self._logged_outdated: set[tuple[str, str]] = set()
+        self._logged_outdated_term = 0
         self._pending: list[_Request] = []
         self._next_ticket = 0
         self._answers: list[Answer] = []
@@ -307,6 +310,7 @@
         self.replica.compact(self._save)
         self.replica.min_version = ORDERS_VERSION if self.evacuations.revision else 0
         self._log_refused_joins()
+        self._log_outdated_messages()
         if self.replica.role is not self._role:
             self._role = self.replica.role
             self._note(events.REPLICA_ROLE, self.replica.member, self._role.value)
@@ -323,6 +327,19 @@
         self._logged_joins |= self.replica.refused_joins.keys()
         self.replica.refused_joins = {}
 
+    def _log_outdated_messages(self) -> None:
+        """Logs dropped messages, one of each sender and kind in a term."""
+        messages, self.replica.outdated_messages = self.replica.outdated_messages, []
+        for message in messages:
+            if message.own_term != self._logged_outdated_term:
+                self._logged_outdated_term = message.own_term
+                self._logged_outdated = set()
+            key = message.sender, message.field
+            if key not in self._logged_outdated:
+                self._logged_outdated.add(key)
+                detail = f"{message.field} of term {message.term} in term {message.own_term}"
+                self._note(events.REPLICA_MESSAGE_OUTDATED, message.sender, detail)
+
     def _load_installed_snapshot(self) -> None:
         snapshot = self.replica.installed_snapshot
         if snapshot is None:
--- a/zinniaspoke/events.py
+++ b/zinniaspoke/events.py
@@ -82,6 +82,12 @@
 REPLICA_REFUSED = _define(508, "replica_refused", "A replica of an older version may not join.")
 ZONE_ORDER_ACCEPTED = _define(509, "zone_order_accepted", "A zone order was committed.")
 ZONE_ORDER_REJECTED = _define(510, "zone_order_rejected", "A zone order got no yes.")
+REPLICA_MESSAGE_OUTDATED = _define(
+    511,
+    "replica_message_outdated",
+    "A late message of an earlier term was dropped; at most one of each sender and kind is logged "
+    "in a term.",
+)
 FLOW_OPENED = _define(404, "flow_opened", "An opening was sent on, with what decided it.")
 FLOW_DROPPED = _define(405, "flow_dropped", "A packet was dropped, since its target is not known.")
 FLOW_WAITS = _define(
