Keep flows that a restarted target took before its restart was known

Cause: an opening carries the token of the incarnation that the entry VM knows. A target that starts again under its name and at its address takes openings with the earlier token until its first announcement is known. After that, entry VMs took the end of the earlier incarnation as proof against every flow with the token.

Change: roster records keep the starts of up to four earlier incarnations under the name, at the address and for the service, and pass them on behind what an earlier version reads. Their tokens name the running incarnation; the end of the earlier one proves nothing about a flow, since the target itself resets what it does not hold. Handshakes with such a token bind the flow to the restarted target, requests count as its load, and an entry VM that has just started knows the token. Packets for a target whose name and address another service has taken over are dropped; before, they were sent on.

--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -49,3 +49,36 @@
     assert 10.0 <= again.warm_at_s <= 10.0 + feed.WARM_UP_LIMIT_S
     if left_s == "3.21":
         assert again.warm_at_s == pytest.approx(13.21, abs=0.02)
+
+
+@pytest.mark.parametrize("order_ms", [5000, 7000])
+@pytest.mark.parametrize("former_starts", [(), (1000, 2000)])
+def test_earlier_starts_follow_what_an_earlier_version_reads(former_starts, order_ms):
+    target = roster.Target(
+        identity="i-1",
+        started_ms=5000,
+        sequence=1,
+        service="api",
+        address=("10.0.0.1", 80),
+        zone="a",
+        slot_count=2,
+        order_ms=order_ms,
+        former_starts=former_starts,
+    )
+    observation = feed.Observation(target=target, age_s=0.0, is_silent=False)
+    data = feed.encode(feed.Update(observations=(observation,)), 0.0)
+    assert feed.decode(data, "c1:1", 0.0).observations[0].target == target
+    # The earlier version takes the thirteenth value for the order, and the start where it lacks.
+    (row,) = json.loads(data)["targets"]
+    assert (row[12] if len(row) > 12 else row[1]) == order_ms
+    if not former_starts:
+        assert len(row) == (12 if order_ms == 5000 else 13)
+
+
+@pytest.mark.parametrize("starts", [7, "x", ["x"], None])
+def test_earlier_starts_that_cannot_be_read_are_refused(starts):
+    row = ["i-1", 5000, 1, "api", "10.0.0.1", 80, "a", 2, 0, 0.0, 0.0, False, 5000, starts]
+    body = json.loads(feed.encode(feed.Update(), 0.0))
+    body["targets"] = [row]
+    with pytest.raises(errors.DatagramError):
+        feed.decode(json.dumps(body).encode(), "c1:1", 0.0)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,5 +1,7 @@
 """Roster: late and repeated announcements, ended incarnations, reused addresses, expiry."""
 
+import itertools
+
 import attrs
 import pytest
 from hypothesis import given
@@ -267,3 +269,36 @@
     table.observe(target(sequence=2, warm_at_s=warm_at_s), 10.0, 10.0)
     assert table.revision == before
     assert table.find("i-1").target.warm_at_s == warm_at_s
+
+
+def test_earlier_starts_are_known_in_any_order_of_arrival():
+    """Flows may have been opened with their tokens at the incarnation that runs."""
+    records = [target(started_ms=start) for start in (1000, 2000, 3000)]
+    for order in itertools.permutations(records):
+        found = make_roster(*order).find("i-1").target
+        assert (found.started_ms, found.former_starts) == (3000, (1000, 2000))
+
+
+def test_earlier_starts_that_another_vm_names_are_added_and_sent_to_subscribers():
+    table = make_roster(target(started_ms=2000))
+    before = table.revision
+    told = attrs.evolve(target(started_ms=3000, sequence=2), former_starts=(1000,))
+    table.observe(told, 1.0, 1.0)
+    table.observe(attrs.evolve(told, former_starts=(1500,)), 1.0, 1.0)
+    assert table.find("i-1").target.former_starts == (1000, 1500, 2000)
+    assert table.find("i-1").revision > before
+    table.announce(target(started_ms=3000, sequence=9), 2.0)
+    assert table.find("i-1").target.former_starts == (1000, 1500, 2000)
+
+
+@pytest.mark.parametrize("changes", [{"address": ("10.0.0.2", 80)}, {"service": "archive"}])
+def test_earlier_starts_at_another_address_or_for_another_service_are_left_out(changes):
+    records = [target(started_ms=1000), target(started_ms=2000, **changes)]
+    for order in (records, records[::-1]):
+        assert make_roster(*order).find("i-1").target.former_starts == ()
+
+
+def test_number_of_earlier_starts_is_limited():
+    table = make_roster(*(target(started_ms=start) for start in range(1000, 1020)))
+    starts = tuple(range(1019 - roster.FORMER_STARTS_MAX, 1019))
+    assert table.find("i-1").target.former_starts == starts
--- a/zinniaspoke/feed.py
+++ b/zinniaspoke/feed.py
@@ -84,8 +84,10 @@
 
 def _encode_observation(observation: Observation, now_s: float) -> list[object]:
     target = observation.target
-    # Left out where it is the start, so that VMs without this field read almost all rows.
-    order = [target.order_ms] if target.order_ms != target.started_ms else []
+    # Left out where they say nothing. VMs of an earlier version read the order at most.
+    tail: list[object] = [target.order_ms] if target.order_ms != target.started_ms else []
+    if target.former_starts:
+        tail = [target.order_ms, target.former_starts]
     return [
         target.identity,
         target.started_ms,
@@ -99,7 +101,7 @@
         math.ceil(_warm_up_left(target.warm_at_s - now_s) * 100) / 100,
         round(observation.age_s, 2),
         observation.is_silent,
-        *order,
+        *tail,
     ]
 
 
@@ -117,7 +119,7 @@
         warm_up_left_s,
         age_s,
         is_silent,
-        *order,
+        *tail,
     ) = row
     target = roster.Target(
         identity=str(identity),
@@ -129,7 +131,8 @@
         slot_count=int(slot_count),
         state=roster.State(state),
         warm_at_s=now_s + _warm_up_left(float(warm_up_left_s)),
-        order_ms=int(order[0] if order else started_ms),
+        order_ms=int(tail[0] if tail else started_ms),
+        former_starts=tuple(int(start) for start in tail[1]) if len(tail) > 1 else (),
     )
     return Observation(target=target, age_s=float(age_s), is_silent=bool(is_silent))
 
--- a/zinniaspoke/loadtable.py
+++ b/zinniaspoke/loadtable.py
@@ -26,7 +26,13 @@
         self._view = view
         self._judge = judge
         self.loads: dict[int, choosing.Load] = {}
+        # By tokens of earlier incarnations under the same name and at the same address. Which of
+        # them took an opening with such a token is not known; the target itself resets flows that
+        # it does not hold.
+        self._restarted: dict[int, choosing.Load] = {}
         self._former: dict[int, choosing.Load] = {}
+        # Tokens of those in whose place a target of another service runs under the same name.
+        self._taken_over: set[int] = set()
         self._ready_by_service: dict[str, list[choosing.Load]] = {}
         self._zones = collections.defaultdict[str, zones.ZoneHealth](zones.ZoneHealth)
         self._revision = -1
@@ -37,7 +43,15 @@
         Args:
             token: The token.
         """
-        return self.loads.get(token) or self._former.get(token)
+        return self.find_listed(token) or self._former.get(token)
+
+    def find_listed(self, token: int) -> choosing.Load | None:
+        """Returns the listed target that a routing token names, or None.
+
+        Args:
+            token: The token of the target, or of an earlier incarnation that ran in its place.
+        """
+        return self.loads.get(token) or self._restarted.get(token)
 
     def ready(self, service: str) -> Sequence[choosing.Load]:
         """Returns the targets of a service that take new flows.
@@ -64,9 +78,22 @@
             # On a token collision the older target keeps the token and the other gets no flows.
             if target_by_token.setdefault(target.token, target) is target:
                 self._update(target, now_s)
+        self._restarted = {}
+        for target in target_by_token.values():
+            for started_ms in target.former_starts:
+                token = roster.token_of(target.identity, started_ms)
+                if token not in target_by_token:
+                    self._note_restarted(token, target, now_s)
         for token in self.loads.keys() - target_by_token.keys():
             self._retire(self.loads.pop(token), now_s)
-        self._judge.keep_ended([*target_by_token, *self._former])
+        self._judge.keep_ended([*target_by_token, *self._restarted, *self._former])
+
+    def _note_restarted(self, token: int, target: roster.Target, now_s: float) -> None:
+        self._restarted[token] = self.loads[target.token]
+        if target.state is roster.State.ENDED:
+            self._judge.note_ended(token, now_s)
+        else:
+            self._judge.note_running(token)
 
     def _update(self, target: roster.Target, now_s: float) -> None:
         load = self.loads.get(target.token)
@@ -83,13 +110,25 @@
             self._ready_by_service.setdefault(target.service, []).append(load)
 
     def _retire(self, load: choosing.Load, now_s: float) -> None:
-        """Keeps what its flows need of a target that has started again."""
+        """Keeps what its flows need of a target that has started again in another place."""
         entry = self._view.targets.find(load.target.identity)
-        if entry is not None and entry.target.token != load.target.token:
+        if entry is not None and load.target.token not in self._restarted:
             self._former[load.target.token] = load
+            if entry.target.address == load.target.address:
+                self._taken_over.add(load.target.token)
             self._judge.note_ended(load.target.token, now_s)
             if len(self._former) > FORMER_LIMIT:
-                del self._former[next(iter(self._former))]
+                oldest = next(iter(self._former))
+                del self._former[oldest]
+                self._taken_over.discard(oldest)
+
+    def is_taken_over(self, target: roster.Target) -> bool:
+        """Whether packets for a target would now reach a target of another service.
+
+        Args:
+            target: The target.
+        """
+        return target.token in self._taken_over
 
     def take_zone_changes(self) -> list[tuple[str, bool]]:
         """Returns the availability zones that became suspected, or answer again, since last asked.
--- a/zinniaspoke/roster.py
+++ b/zinniaspoke/roster.py
@@ -13,11 +13,24 @@
 # Ended targets are kept this much longer than the deployment's bound on the age of flows; flows
 # that are older than the bound may be dropped.
 RETAIN_SLACK_S = 30.0
+# Earlier incarnations of a target whose tokens still name it. An opening carries one of them if it
+# was sent on before the target's restart was known.
+FORMER_STARTS_MAX = 4
 # A warm-up that ends this much later than was known began anew; less is the delay of messages.
 COLD_AGAIN_S = 0.5
 STALE = errors.Nothing(reason="stale_announcement")
 
 
+def token_of(identity: str, started_ms: int) -> int:
+    """Derives an incarnation's token, so that all VMs compute the same one.
+
+    Args:
+        identity: The target's name.
+        started_ms: Its start, in Unix milliseconds.
+    """
+    return hashing.short_hash(f"{identity}/{started_ms}".encode())
+
+
 class State(enum.IntEnum):
     """State that a target last announced; it never decreases within an incarnation."""
 
@@ -41,6 +54,8 @@
         state: The state that it last announced.
         warm_at_s: End of its warm-up, in which it is slower than usual, on this process's clock.
         order_ms: Orders the incarnations; ``started_ms``, or more if its clock had gone back.
+        former_starts: Starts of the latest earlier incarnations under this name, at this address
+            and for this service.
         token: The routing token of the incarnation, never 0.
     """
 
@@ -54,6 +69,7 @@
     state: State = State.READY
     warm_at_s: float = 0.0
     order_ms: int = attrs.field()
+    former_starts: tuple[int, ...] = ()
     token: int = attrs.field(init=False)
 
     @order_ms.default
@@ -61,15 +77,28 @@
         return self.started_ms
 
     def __attrs_post_init__(self) -> None:
-        """Derives the token from identity and start alone, so that all VMs compute the same one."""
-        token = hashing.short_hash(f"{self.identity}/{self.started_ms}".encode())
-        object.__setattr__(self, "token", token)
+        """Derives the token from identity and start alone."""
+        object.__setattr__(self, "token", token_of(self.identity, self.started_ms))
 
     @property
     def order(self) -> tuple[int, int, int]:
         """Sort key of records of one identity: a newer record has a greater key."""
         return self.order_ms, self.state, self.sequence
 
+    def with_former_starts(self, other: "Target") -> "Target":
+        """Adds what another record of the target tells of its earlier incarnations.
+
+        Flows that were opened at another address, or for another service, are not its flows.
+
+        Args:
+            other: A record of the same or an earlier incarnation.
+        """
+        starts = set(self.former_starts)
+        if (other.address, other.service) == (self.address, self.service):
+            starts |= {other.started_ms, *other.former_starts}
+        latest = tuple(sorted(starts - {self.started_ms})[-FORMER_STARTS_MAX:])
+        return self if latest == self.former_starts else attrs.evolve(self, former_starts=latest)
+
 
 @attrs.define(kw_only=True, slots=True)
 class Dispute:
@@ -246,22 +275,31 @@
         if not self._is_newer(target, known.target):
             if target.order == known.target.order:
                 self._renew(known, heard_s, now_s)
+            self._take_former_starts(known, target)
             return STALE
+        target = target.with_former_starts(known.target)
         is_change = (target.order_ms, target.state) != (known.target.order_ms, known.target.state)
         is_moved = target.address != known.target.address or target.service != known.target.service
         is_cold_again = (
             target.warm_at_s > now_s and target.warm_at_s > known.target.warm_at_s + COLD_AGAIN_S
         )
+        has_new_starts = target.former_starts != known.target.former_starts
         known.target = target
         known.dispute, known.is_end_inferred = None, False
         self._renew(known, heard_s, now_s)
-        if is_cold_again:
+        if is_cold_again or has_new_starts:
             self._mark_changed(known)
         if is_change or is_moved:
             self._mark_changed(known)
             self._resolve_address_conflict(known)
         return known
 
+    def _take_former_starts(self, known: Entry, older: Target) -> None:
+        target = known.target.with_former_starts(older)
+        if target is not known.target:
+            known.target = target
+            self._mark_changed(known)
+
     @staticmethod
     def _restore_order(target: Target, known: Target) -> Target:
         """Gives a newer record of the known incarnation its order, if the sender has lost it.
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -50,6 +50,7 @@
 DROPPED_NOT_FRESH = errors.Nothing(reason="dropped_not_fresh")
 DROPPED_WAITED_TOO_LONG = errors.Nothing(reason="dropped_waited_too_long")
 DROPPED_RULES_CHANGED = errors.Nothing(reason="dropped_rules_changed")
+DROPPED_TAKEN_OVER = errors.Nothing(reason="dropped_target_taken_over")
 DROPPED_COLD = errors.Nothing(reason="dropped_cold_target")
 # Ends an open flow without promising anything about its request.
 RESET_UNRESPONSIVE = errors.Nothing(reason="reset_unresponsive_target")
@@ -167,6 +168,12 @@
             sent a refusal; for ``WAITING`` the opening is queued; otherwise it is dropped silently.
         """
         self._table.refresh(now_s)
+        found = self._find_target(packet, now_s)
+        if isinstance(found, roster.Target) and self._table.is_taken_over(found):
+            return DROPPED_TAKEN_OVER
+        return found
+
+    def _find_target(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         if packet.kind is Kind.OPENING:
             return self._steer_opening(packet, now_s)
         flow = self._flows.get(packet.flow)
@@ -174,10 +181,11 @@
             return self._steer_unrecorded(packet, now_s)
         flow.last_packet_s = now_s
         if flow.stage is flowstate.Stage.OPENING:
-            answered = self._table.loads.get(packet.token)
+            answered = self._table.find_listed(packet.token)
             if answered is not None:
                 self._accounting.complete_handshake(flow, answered, packet, now_s)
         else:
+            self._follow_restart(flow, packet)
             self._accounting.update_load(flow, packet)
         if packet.kind is not Kind.DATA:
             self._accounting.close(flow)
@@ -185,6 +193,14 @@
             return self._judge_open(flow, packet, now_s)
         return flow.target
 
+    def _follow_restart(self, flow: flowstate.Flow, packet: Packet) -> None:
+        """Assigns a flow to the incarnation that has answered it, once that one is known."""
+        if packet.acknowledged == flow.acknowledged:
+            return
+        listed = self._table.find_listed(flow.load.target.token)
+        if listed is not None and listed is not flow.load:
+            flow.move(listed)
+
     def _steer_unrecorded(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         load = self._table.find(packet.token)
         if packet.kind is not Kind.DATA or load is not None:
