--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -245,3 +245,12 @@
     vm.run(flowstate.MIN_RETRANSMIT_S + steering.IDLE_LOAD_TIMEOUT_S + 1.0)
     vm.core.take_released(vm.now_s)
     assert all(load.in_flight_count == 0 for load in vm.core._table.loads.values())
+
+
+def test_no_hedge_by_rules_that_have_changed():
+    vm = Vm(target(1), target(2), target(3, "archive"))
+    vm.learn()
+    vm.packet(flow(1), route=READ)
+    content = RULES.replace(b":443 tcp ledger", b":443 tcp archive")
+    vm.apply_update(number=2, content=content)
+    assert vm.hedges_after(hedging.DELAY_MAX_S) == []
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -649,3 +649,40 @@
     vm.packet(flow(1), steering.Kind.DATA, old.token, acknowledged=1, sequence=1, has_payload=True)
     load = vm.core._table.find_listed(old.token)
     assert (load.target.started_ms, load.in_flight_count) == (5000, 1)
+
+
+ARCHIVE_RULES = RULES.replace(b"tcp ledger", b"tcp archive")
+SPLIT_RULES = RULES.replace(b"tcp ledger", b"tcp ledger split=ledger:1,archive:99")
+
+
+def open_then_change(content, copy_s):
+    """Sends an opening, changes the rules, and sends a copy of the opening."""
+    vm = Vm(target(1), target(2), target(3, "archive"))
+    vm.packet(flow(1))
+    vm.apply_update(number=2, content=content)
+    vm.now_s += copy_s
+    return vm, vm.packet(flow(1), retransmit_count=1)
+
+
+@pytest.mark.parametrize("copy_s", [0.05, 0.2, 0.6])
+def test_copy_of_an_opening_follows_the_rules_in_force(copy_s):
+    """Guards against a request that runs by a rule which a later rule file has dropped."""
+    vm, found = open_then_change(b"10.9.0.1:444 tcp archive # t: t", copy_s)
+    assert found is steering.REFUSED_NO_ROUTE
+    assert len(vm.core) == 0
+    _, found = open_then_change(ARCHIVE_RULES, copy_s)
+    assert found.service == "archive"
+
+
+@pytest.mark.parametrize("copy_s", [0.05, 0.2, 0.6])
+def test_copy_of_an_opening_stays_with_a_service_that_its_rule_still_names(copy_s):
+    _, found = open_then_change(SPLIT_RULES, copy_s)
+    assert found.service == "ledger"
+
+
+def test_copy_of_the_opening_of_an_open_flow_is_sent_to_its_target_after_a_change():
+    vm = Vm(target(1), target(2), target(3, "archive"))
+    chosen = vm.open(flow(1))
+    vm.apply_update(number=2, content=ARCHIVE_RULES)
+    assert vm.packet(flow(1), retransmit_count=1) is chosen
+    assert vm.packet(flow(1), steering.Kind.DATA, chosen.token) is chosen
--- a/zinniaspoke/rules.py
+++ b/zinniaspoke/rules.py
@@ -211,6 +211,13 @@
                 return service
         return self.service
 
+    @property
+    def services(self) -> frozenset[str]:
+        """The services to which it sends new flows."""
+        return frozenset(name for name, weight in self.split if weight) or frozenset(
+            (self.service,)
+        )
+
     @property
     def is_long(self) -> bool:
         """Whether the work on flows to this address is expected to take long."""
--- a/zinniaspoke/steering.py
+++ b/zinniaspoke/steering.py
@@ -261,8 +261,8 @@
 
     def _steer_opening(self, packet: Packet, now_s: float) -> roster.Target | errors.Nothing:
         flow = self._flows.get(packet.flow)
-        if flow is not None and self._is_kept_off(flow):
-            # Placed as a new opening: its first target must not get it again.
+        if flow is not None and (self._is_kept_off(flow) or self._is_ruled_out(flow, packet)):
+            # Handled as a new opening: its first target must not get it again.
             flow.uncount_as_load()
             flow = None
             del self._flows[packet.flow]
@@ -344,6 +344,13 @@
             or self._table.loads.get(load.target.token) is not load
         )
 
+    def _is_ruled_out(self, flow: flowstate.Flow, packet: Packet) -> bool:
+        """Whether a flow that is not open yet was sent to a service that its rule does not name."""
+        if flow.stage is not flowstate.Stage.OPENING:
+            return False
+        rule = self.rule_of(packet)
+        return isinstance(rule, errors.Nothing) or flow.target.service not in rule.services
+
     def rule_of(self, packet: Packet) -> rules.Rule | errors.Nothing:
         """Returns the rule in force for a packet's service address.
 
@@ -525,6 +532,7 @@
                 flow is None
                 or flow.stage is not flowstate.Stage.OPENING
                 or flow.opening_sent_s != due.sent_s
+                or self._is_ruled_out(flow, due.opening)
             ):
                 continue
             load = self._place_hedge(flow, now_s)
