Refuse announcements that lack a field which targets send

Cause: the adapter had defaults for zone, slots and warm-up and did not look at the version, so an announcement of another writer that lacked them was taken for the target's own and outranked it.

Change: all fields that targets of the platform send are demanded, born excepted, and at least one slot.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -108,8 +108,10 @@
     "state": [None, "up", 1],
     "sequence": [None, "4", 1.5, True],
     "born": ["soon", 1.5, None, True],
-    "slots": ["2", 1 << 64],
-    "cold_remaining_ms": ["long", float("inf"), float("nan"), 10**400],
+    "zone": [None, 7],
+    "version": [None, 1],
+    "slots": [None, "2", 0, -1, 1 << 64],
+    "cold_remaining_ms": [None, "long", float("inf"), float("nan"), 10**400],
 }
 ODD_ADDRESSES = ["1.2.3.\u00b2:80", "1.2.3.4:\u00b2", "\uff11.2.3.4:80"]
 
@@ -120,6 +122,14 @@
         record(**{field: value})
 
 
+@pytest.mark.parametrize("field", sorted(set(BEAT) - {"born"}))
+def test_announcement_that_lacks_a_field_names_no_target(field):
+    """Guards against another writer's announcement that moves a target to another service."""
+    body = {name: value for name, value in BEAT.items() if name != field}
+    with pytest.raises(errors.AnnouncementError, match=field):
+        announcement.decode("i-7f3a91c2", json.dumps(body).encode(), 0.0)
+
+
 @pytest.mark.parametrize("address", ODD_ADDRESSES)
 def test_address_of_digits_that_are_not_ascii_names_no_target(address):
     with pytest.raises(errors.AnnouncementError, match="address"):
