Drop packets for a taken-over target only if another service runs there

Cause: a target that restarted more often than earlier starts are kept, after its clock had gone back, counted as taken over by itself, and packets of its earlier flows were dropped. Found by reading.

Change: the services are compared, not the addresses alone.

Measured: test_target_that_restarted_often_with_an_earlier_clock_is_not_taken_over fails on the code before.

--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -686,3 +686,13 @@
     vm.apply_update(number=2, content=ARCHIVE_RULES)
     assert vm.packet(flow(1), retransmit_count=1) is chosen
     assert vm.packet(flow(1), steering.Kind.DATA, chosen.token) is chosen
+
+
+def test_target_that_restarted_often_with_an_earlier_clock_is_not_taken_over():
+    """Its earlier starts are limited to the latest ones; the last one to run is not among them."""
+    starts = range(5000, 5000 + roster.FORMER_STARTS_MAX)
+    vm = Vm(target(1, started_ms=1000, order_ms=9000, former_starts=tuple(starts)))
+    old = vm.open(flow(1))
+    vm.apply_update(target(1, started_ms=9500, former_starts=tuple(starts)), number=1)
+    found = vm.packet(flow(1), steering.Kind.DATA, old.token, acknowledged=1)
+    assert (found.identity, found.address) == (old.identity, old.address)
--- a/zinniaspoke/loadtable.py
+++ b/zinniaspoke/loadtable.py
@@ -114,7 +114,8 @@
         entry = self._view.targets.find(load.target.identity)
         if entry is not None and load.target.token not in self._restarted:
             self._former[load.target.token] = load
-            if entry.target.address == load.target.address:
+            is_same_place = entry.target.address == load.target.address
+            if is_same_place and entry.target.service != load.target.service:
                 self._taken_over.add(load.target.token)
             self._judge.note_ended(load.target.token, now_s)
             if len(self._former) > FORMER_LIMIT:
--- a/zinniaspoke/roster.py
+++ b/zinniaspoke/roster.py
@@ -217,7 +217,7 @@
         that has ended. It is accepted once the target goes on announcing itself while the later
         record's incarnation, or the later owner of the address, is silent: then the clock from
         which ``started_ms`` was read had gone back. Against a deregistration by an unknown sender
-        the target's next announcement suffices, as an earlier incarnation may have sent it.
+        the target's second announcement suffices, as an earlier incarnation may have sent it.
 
         Args:
             target: The announced record.
